--- /dev/null
+++ b/gateway/src/catalog/mod.rs
@@ -0,0 +1,15 @@
+//! What the operators configured and which endpoints exist. Callers use `CatalogState` and the
+//! entry types.
+
+mod endpoint;
+mod removal_hold;
+mod routing;
+mod state;
+
+pub use endpoint::EndpointEntry;
+pub use removal_hold::RemovalHold;
+pub use routing::{
+    RequestKind, RouteEntry, RouteTarget, RoutingTable, ServiceEntry, UsageCap, UsageUnit,
+    WorkspaceEntry,
+};
+pub use state::{CallerLimits, CatalogChange, CatalogState, ConfigurationImage};
--- /dev/null
+++ b/gateway/src/catalog/removal_hold.rs
@@ -0,0 +1,52 @@
+//! Holds back removals that a store's outage may have caused.
+//!
+//! Entries lapse while the store is away, and living endpoints are back in it about two seconds
+//! after its return. Only what is still missing then is gone.
+
+use std::time::{Duration, Instant};
+
+use crate::ids::EndpointId;
+
+/// Time that a living endpoint needs to register again, with a small margin.
+const RETURN_TIME: Duration = Duration::from_millis(2_300);
+
+#[derive(Debug, Default)]
+pub struct RemovalHold {
+    down: bool,
+    hold_until: Option<Instant>,
+    held: Vec<EndpointId>,
+}
+
+impl RemovalHold {
+    pub fn note_store_failed(&mut self) {
+        self.down = true;
+    }
+
+    pub fn note_store_answered(&mut self, now: Instant) {
+        if std::mem::take(&mut self.down) {
+            self.hold_until = Some(now + RETURN_TIME);
+        }
+    }
+
+    /// Takes a removal; false when it is held back.
+    pub fn admits_removal(&mut self, id: &EndpointId, now: Instant) -> bool {
+        let holding = self.down || self.hold_until.is_some_and(|until| now < until);
+        if holding && !self.held.contains(id) {
+            self.held.push(id.clone());
+        }
+        !holding
+    }
+
+    /// The endpoint has registered again.
+    pub fn cancel(&mut self, id: &EndpointId) {
+        self.held.retain(|held| held != id);
+    }
+
+    /// Removals that are due now.
+    pub fn take_due(&mut self, now: Instant) -> Vec<EndpointId> {
+        if self.down || self.hold_until.is_some_and(|until| now < until) {
+            return Vec::new();
+        }
+        std::mem::take(&mut self.held)
+    }
+}
--- /dev/null
+++ b/gateway/src/configs/scheduler.rs
@@ -0,0 +1,55 @@
+//! Settings of the scheduler.
+
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct SchedulerSettings {
+    /// Hosts that may send to one cold endpoint. Eight hosts with a burst of one each stay below
+    /// the 5 requests and half the rate by which a cold endpoint may be exceeded.
+    pub cold_senders: usize,
+    /// Longest wait in the queue by tier; the last value serves all lower tiers. A request that
+    /// has waited so long is refused unrun while its caller still has time to come back.
+    pub queue_wait: Vec<Duration>,
+    /// Requests that wait at one host; bounds memory at about 64 KB a waiting prompt.
+    pub queue_length: usize,
+    /// First pause after an endpoint could not be reached; doubles up to the longest.
+    pub first_backoff: Duration,
+    /// Longest such pause: a crashed endpoint is back after some seconds.
+    pub longest_backoff: Duration,
+    /// Milliseconds that a certain failure counts for in the choice of an endpoint: the usual
+    /// target of a first token, which a failed run misses.
+    pub failure_penalty_ms: f64,
+    /// Time in which the memory of a failure halves.
+    pub failure_half_life: Duration,
+    /// Reports of a peer that is silent for longer are dropped; four missed beats.
+    pub peer_expiry: Duration,
+    /// Weight of the delay that reading a prompt causes to each run beside it.
+    pub interference_weight: f64,
+    /// Weight of the time that the answer's tokens occupy a slot.
+    pub decode_weight: f64,
+    /// Relative spread of the random factor on each score; keeps hosts that see the same reports
+    /// from choosing the same endpoint.
+    pub score_noise: f64,
+}
+
+impl Default for SchedulerSettings {
+    fn default() -> Self {
+        Self {
+            cold_senders: 8,
+            queue_wait: vec![
+                Duration::from_millis(4_000),
+                Duration::from_millis(2_500),
+                Duration::from_millis(900),
+            ],
+            queue_length: 2_000,
+            first_backoff: Duration::from_millis(200),
+            longest_backoff: Duration::from_millis(1_600),
+            failure_penalty_ms: 800.0,
+            failure_half_life: Duration::from_secs(2),
+            peer_expiry: Duration::from_secs(1),
+            interference_weight: 0.1,
+            decode_weight: 0.05,
+            score_noise: 0.1,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/edge/accept.rs
@@ -0,0 +1,74 @@
+//! Accepts connections and serves HTTP/1.1 on them.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use cyper_core::{CompioTimer, HyperStream};
+use http::{Request, Response};
+use http_util::is_transient;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+
+use super::body::EdgeBody;
+
+/// Pause after an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Buffer for one request head; the configured limit on heads is checked by the handler.
+const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Limits of one listening socket.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AcceptLimits {
+    /// Connections at the same time; further ones are closed unread.
+    pub connections: usize,
+    /// Time for a request head, idle time before it included.
+    pub head_timeout: Duration,
+}
+
+/// Serves connections until the listener fails.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    limits: AcceptLimits,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<EdgeBody>> + 'static,
+{
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) if is_transient(&error) => {
+                compio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        if open.get() >= limits.connections || stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
+        let handler = handler.clone();
+        compio::runtime::spawn(async move {
+            let service = service_fn(move |request| {
+                let reply = handler(request);
+                async move { Ok::<_, std::convert::Infallible>(reply.await) }
+            });
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(CompioTimer)
+                .header_read_timeout(limits.head_timeout)
+                .max_buf_size(HEAD_BUFFER_BYTES)
+                .serve_connection(HyperStream::new_plain(stream), service)
+                .await;
+            // A broken connection is the caller's affair; its request was told by being dropped.
+            drop(served);
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/gateway/src/edge/body.rs
@@ -0,0 +1,53 @@
+//! Response bodies of the gateway.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// Events of a stream; an error cuts the caller's connection.
+pub(crate) type EventStream = Pin<Box<dyn Stream<Item = std::io::Result<Bytes>>>>;
+
+pub(crate) enum EdgeBody {
+    Whole(Option<Bytes>),
+    Events(EventStream),
+}
+
+impl EdgeBody {
+    pub fn empty() -> Self {
+        Self::Whole(None)
+    }
+}
+
+impl Body for EdgeBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Events(events) => events
+                .as_mut()
+                .poll_next(context)
+                .map(|next| next.map(|bytes| bytes.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/edge/event_splitter.rs
@@ -0,0 +1,79 @@
+//! Cuts a stream of server-sent events into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Bytes of an event that has no end yet; a longer one is passed on in parts.
+const LONGEST_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Whole events and the id of the last one.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct WholeEvents {
+    pub bytes: Bytes,
+    pub count: u32,
+    pub last_id: Option<u64>,
+}
+
+/// Holds back the part of an event whose end has not come.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    partial: BytesMut,
+}
+
+impl EventSplitter {
+    /// Takes a chunk and returns the events that are whole now, if any.
+    pub fn push(&mut self, chunk: Bytes) -> Option<WholeEvents> {
+        let data = if self.partial.is_empty() {
+            chunk
+        } else {
+            self.partial.extend_from_slice(&chunk);
+            self.partial.split().freeze()
+        };
+        let Some(end) = last_event_end(&data) else {
+            if data.len() > LONGEST_EVENT_BYTES {
+                return Some(WholeEvents {
+                    bytes: data,
+                    count: 0,
+                    last_id: None,
+                });
+            }
+            self.partial.extend_from_slice(&data);
+            return None;
+        };
+        self.partial.extend_from_slice(&data[end..]);
+        let bytes = data.slice(..end);
+        let (count, last_id) = scan_events(&bytes);
+        Some(WholeEvents {
+            bytes,
+            count,
+            last_id,
+        })
+    }
+
+    /// Drops what came of an unfinished event, before the stream goes on elsewhere.
+    pub fn clear(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Returns the rest after the last whole event of a complete stream.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+}
+
+fn last_event_end(data: &[u8]) -> Option<usize> {
+    let found = data.windows(2).rposition(|pair| pair == b"\n\n");
+    found.map(|start| start + 2)
+}
+
+fn scan_events(data: &[u8]) -> (u32, Option<u64>) {
+    let mut count = 0;
+    let mut last_id = None;
+    for line in data.split(|byte| *byte == b'\n') {
+        if let Some(id) = line.strip_prefix(b"id:") {
+            count += 1;
+            let text = std::str::from_utf8(id).unwrap_or_default().trim();
+            last_id = text.parse().ok().or(last_id);
+        }
+    }
+    (count, last_id)
+}
--- /dev/null
+++ b/gateway/src/edge/mod.rs
@@ -0,0 +1,25 @@
+//! The sockets of one host and what connects them to the decisions. Callers use `Edge`,
+//! `EdgeSettings`, `WireDialect` and `run_edge`.
+
+mod accept;
+mod body;
+mod connection_pool;
+mod dialect;
+mod directory;
+mod event_splitter;
+mod forward;
+mod headers;
+mod metrics;
+mod peers;
+mod placement;
+mod relay;
+mod reply;
+mod run;
+mod settings;
+mod state;
+
+pub use dialect::{HeaderNames, WireDialect};
+pub use event_splitter::EventSplitter;
+pub use run::run_edge;
+pub use settings::EdgeSettings;
+pub use state::Edge;
--- /dev/null
+++ b/gateway/src/edge/relay.rs
@@ -0,0 +1,206 @@
+//! Passes a stream of events on, and continues it at another endpoint when it breaks.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::body::EdgeBody;
+use super::connection_pool::EndpointConnection;
+use super::event_splitter::EventSplitter;
+use super::forward::{
+    DispatchFailure, EndpointAnswer, ForwardJob, is_resumable, log_end, may_go_on, place_job,
+    send_job,
+};
+use super::headers;
+use super::placement::PlacedRun;
+use crate::scheduler::RunEnd;
+
+/// Pause between events after which a stream that may be resumed is, as a multiple of the pause
+/// that is still on time: callers give up at eight times that pause.
+const STALL_FACTOR: u32 = 4;
+/// Shortest such pause.
+const LEAST_STALL: Duration = Duration::from_millis(1_200);
+
+/// A stream in progress. Dropping it closes the endpoint's connection, which ends its work.
+struct RelayState {
+    job: ForwardJob,
+    source: Option<RelaySource>,
+    splitter: EventSplitter,
+    last_id: Option<u64>,
+    /// A rest without an event's end, of a stream that ended whole.
+    rest: Option<Bytes>,
+}
+
+struct RelaySource {
+    run: PlacedRun,
+    connection: EndpointConnection,
+    body: Incoming,
+}
+
+/// What reading on came to.
+enum RelayStep {
+    Events(Bytes),
+    /// The stream is whole.
+    Done,
+    /// The endpoint broke off or fell silent.
+    Broken(RunEnd),
+    /// The time limit of the request.
+    Timeout,
+}
+
+/// Builds the reply that streams the endpoint's events.
+pub(crate) fn relay_events(job: ForwardJob, answer: EndpointAnswer) -> Response<EdgeBody> {
+    let EndpointAnswer {
+        run,
+        connection,
+        response,
+    } = answer;
+    let (parts, body) = response.into_parts();
+    let resumed_from = headers::text(
+        &job.headers,
+        &http::HeaderName::from_static("last-event-id"),
+    )
+    .and_then(|text| text.parse().ok());
+    let state = RelayState {
+        job,
+        source: Some(RelaySource {
+            run,
+            connection,
+            body,
+        }),
+        splitter: EventSplitter::default(),
+        last_id: resumed_from,
+        rest: None,
+    };
+    let events = stream::try_unfold(state, |state| async move { next_events(state).await });
+    let mut reply = Response::new(EdgeBody::Events(Box::pin(events)));
+    *reply.status_mut() = parts.status;
+    let mut kept = headers::end_to_end(&parts.headers);
+    // A resumed stream may be framed differently.
+    kept.remove(http::header::CONTENT_LENGTH);
+    *reply.headers_mut() = kept;
+    reply
+}
+
+async fn next_events(mut state: RelayState) -> std::io::Result<Option<(Bytes, RelayState)>> {
+    loop {
+        if let Some(rest) = state.rest.take() {
+            return Ok(Some((rest, state)));
+        }
+        let Some(source) = state.source.as_mut() else {
+            return Ok(None);
+        };
+        let step = read_step(&state.job, source, &mut state.splitter, &mut state.last_id).await;
+        match step {
+            RelayStep::Events(bytes) => return Ok(Some((bytes, state))),
+            RelayStep::Done => finish(&mut state),
+            RelayStep::Broken(end) => resume(&mut state, end).await?,
+            RelayStep::Timeout => {
+                log_end(&state.job, StatusCode::GATEWAY_TIMEOUT, "stream_timeout");
+                state.job.edge.count("stream_timeout");
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+        }
+    }
+}
+
+async fn read_step(
+    job: &ForwardJob,
+    source: &mut RelaySource,
+    splitter: &mut EventSplitter,
+    last_id: &mut Option<u64>,
+) -> RelayStep {
+    loop {
+        let now = Instant::now();
+        let left = job.deadline.saturating_duration_since(now);
+        let stall = stall_limit(job, source);
+        let limit = stall.map_or(left, |stall| stall.min(left));
+        let frame = match compio::time::timeout(limit, source.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return RelayStep::Broken(RunEnd::Broken),
+            Ok(None) => return RelayStep::Done,
+            Err(_) if limit < left => return RelayStep::Broken(RunEnd::Stalled),
+            Err(_) => return RelayStep::Timeout,
+        };
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if let Some(events) = splitter.push(chunk) {
+            source.run.note_events(events.count);
+            *last_id = events.last_id.or(*last_id);
+            return RelayStep::Events(events.bytes);
+        }
+    }
+}
+
+/// Longest pause before the stream goes on elsewhere; `None` where it must not.
+fn stall_limit(job: &ForwardJob, source: &RelaySource) -> Option<Duration> {
+    if !is_resumable(job) || job.runs >= job.route.attempts {
+        return None;
+    }
+    if !source.run.has_events() {
+        return super::forward::silence_limit(job);
+    }
+    Some((job.route.gap_target * STALL_FACTOR).max(LEAST_STALL))
+}
+
+fn finish(state: &mut RelayState) {
+    let Some(source) = state.source.take() else {
+        return;
+    };
+    let rest = state.splitter.take_rest();
+    state.rest = (!rest.is_empty()).then_some(rest);
+    let endpoint = std::rc::Rc::clone(&source.run.endpoint);
+    source.run.end(RunEnd::Completed);
+    state.job.edge.pool.put(&endpoint, source.connection);
+    log_end(&state.job, StatusCode::OK, "streamed");
+}
+
+/// Goes on at another endpoint after the last whole event. The connection to the endpoint before
+/// is closed first, so that it does not work on.
+async fn resume(state: &mut RelayState, end: RunEnd) -> std::io::Result<()> {
+    if let Some(source) = state.source.take() {
+        source.run.end(end);
+        drop(source.connection);
+    }
+    state.splitter.clear();
+    let mut failure = match end {
+        RunEnd::Stalled => DispatchFailure::Silent,
+        _ => DispatchFailure::MaybeRun,
+    };
+    while is_resumable(&state.job) && may_go_on(&state.job, failure) {
+        state.job.edge.count("stream_resume");
+        log::info!(
+            id = state.job.id.as_str(), cause = failure.word(), after_event = state.last_id.unwrap_or(0),
+            dispatches = state.job.dispatches;
+            "stream: goes on elsewhere"
+        );
+        let left = state.job.deadline.saturating_duration_since(Instant::now());
+        let placing = compio::time::timeout(left, place_job(&mut state.job)).await;
+        let Ok(Ok(run)) = placing else { break };
+        let sending = send_job(&mut state.job, run, state.last_id);
+        match compio::time::timeout(left, sending).await {
+            Ok(Ok(answer)) if answer.response.status().is_success() => {
+                state.source = Some(RelaySource {
+                    run: answer.run,
+                    connection: answer.connection,
+                    body: answer.response.into_body(),
+                });
+                return Ok(());
+            }
+            Ok(Ok(answer)) => {
+                answer.run.end(RunEnd::Failed);
+                failure = DispatchFailure::Failed;
+            }
+            Ok(Err(next)) => failure = next,
+            Err(_) => break,
+        }
+    }
+    log_end(&state.job, StatusCode::BAD_GATEWAY, "stream_broken");
+    state.job.edge.count("stream_broken");
+    Err(std::io::ErrorKind::ConnectionAborted.into())
+}
--- /dev/null
+++ b/gateway/src/edge/run.rs
@@ -0,0 +1,134 @@
+//! Starts the sockets of one host and stops them.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::net::{TcpListener, UdpSocket};
+use compio::signal::unix::signal;
+
+use super::accept::{AcceptLimits, serve};
+use super::directory::{control_reply, directory_reply, readiness_reply};
+use super::forward::forward_request;
+use super::peers::{receive_beats, send_beats, send_to_all};
+use super::state::Edge;
+
+const SIGTERM: i32 = 15;
+/// Time for which a stopping host goes on listening: callers learn of others within two answers
+/// of the directory.
+const LEAVE_LINGER: Duration = Duration::from_millis(4_500);
+/// Margin before the kill.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time for a request head on connections of callers; they reuse connections that have been
+/// idle for up to a dozen seconds.
+const CALLER_HEAD_TIMEOUT: Duration = Duration::from_secs(17);
+/// Connections on the sockets that only the platform and operators use.
+const SIDE_CONNECTIONS: usize = 64;
+/// Time between two looks for connections that are too old.
+const STALE_INTERVAL: Duration = Duration::from_secs(1);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Serves until the process is told to stop and its requests are answered.
+///
+/// # Errors
+///
+/// Returns the error of a socket that could not be opened.
+pub async fn run_edge(edge: Rc<Edge>) -> std::io::Result<()> {
+    let settings = &edge.settings;
+    let peer_address = (settings.host, settings.peer_port);
+    let socket = Rc::new(UdpSocket::bind(peer_address).await?);
+    let callers = TcpListener::bind(settings.callers).await?;
+    let readiness = TcpListener::bind(settings.readiness).await?;
+    compio::runtime::spawn(receive_beats(Rc::clone(&edge), Rc::clone(&socket))).detach();
+    compio::runtime::spawn(send_beats(Rc::clone(&edge), Rc::clone(&socket))).detach();
+    compio::runtime::spawn(close_stale(Rc::clone(&edge))).detach();
+    let side = AcceptLimits {
+        connections: SIDE_CONNECTIONS,
+        head_timeout: CALLER_HEAD_TIMEOUT,
+    };
+    if let Some(address) = settings.directory {
+        let limits = AcceptLimits {
+            connections: settings.max_callers,
+            ..side
+        };
+        spawn_replies(
+            &edge,
+            TcpListener::bind(address).await?,
+            limits,
+            directory_reply,
+        );
+    }
+    if let Some(address) = settings.control {
+        spawn_replies(
+            &edge,
+            TcpListener::bind(address).await?,
+            side,
+            control_reply,
+        );
+    }
+    spawn_replies(&edge, readiness, side, readiness_reply);
+    let limits = AcceptLimits {
+        connections: settings.max_callers,
+        head_timeout: CALLER_HEAD_TIMEOUT,
+    };
+    let handler_edge = Rc::clone(&edge);
+    let serving = serve(callers, limits, move |request| {
+        forward_request(Rc::clone(&handler_edge), request)
+    });
+    compio::runtime::spawn(async move {
+        if let Err(error) = serving.await {
+            log::error!("edge: the callers' socket failed: {error}");
+        }
+    })
+    .detach();
+    log::info!(host = settings.host.to_string().as_str(), zone = settings.zone.as_str(); "edge: started");
+    signal(SIGTERM).await?;
+    leave(&edge, &socket).await;
+    Ok(())
+}
+
+type ReplyFunction =
+    fn(&Rc<Edge>, &http::Request<hyper::body::Incoming>) -> http::Response<super::body::EdgeBody>;
+
+fn spawn_replies(
+    edge: &Rc<Edge>,
+    listener: TcpListener,
+    limits: AcceptLimits,
+    reply: ReplyFunction,
+) {
+    let edge = Rc::clone(edge);
+    let serving = serve(listener, limits, move |request| {
+        let answer = reply(&edge, &request);
+        async move { answer }
+    });
+    compio::runtime::spawn(async move {
+        if let Err(error) = serving.await {
+            log::error!("edge: a side socket failed: {error}");
+        }
+    })
+    .detach();
+}
+
+async fn close_stale(edge: Rc<Edge>) {
+    loop {
+        compio::time::sleep(STALE_INTERVAL).await;
+        edge.pool.close_stale();
+    }
+}
+
+/// Takes the host out of the directory, then waits for what it has taken.
+async fn leave(edge: &Rc<Edge>, socket: &UdpSocket) {
+    let since = Instant::now();
+    log::info!(in_flight = edge.in_flight.get(); "edge: stopping");
+    edge.state.borrow_mut().leaving_since = Some(since);
+    send_to_all(edge, socket).await;
+    let latest = edge.settings.grace.saturating_sub(GRACE_MARGIN);
+    loop {
+        let elapsed = since.elapsed();
+        let idle = edge.in_flight.get() == 0;
+        if elapsed >= latest || (idle && elapsed >= LEAVE_LINGER.min(latest)) {
+            break;
+        }
+        compio::time::sleep(DRAIN_POLL).await;
+    }
+    log::info!(in_flight = edge.in_flight.get(), took_ms = since.elapsed().as_millis(); "edge: stopped");
+}
--- /dev/null
+++ b/gateway/src/edge/settings.rs
@@ -0,0 +1,28 @@
+//! Settings of one host.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use crate::ids::ZoneName;
+use crate::limits::RetryBudgetSettings;
+
+#[derive(Clone, Debug)]
+pub struct EdgeSettings {
+    /// Address of this host, by which peers know it.
+    pub host: IpAddr,
+    pub zone: ZoneName,
+    /// Where callers connect. Ports are the same on all hosts.
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub directory: Option<SocketAddr>,
+    pub control: Option<SocketAddr>,
+    /// Port for datagrams between hosts, on every host.
+    pub peer_port: u16,
+    /// Hosts that may be asked for others at the start.
+    pub seeds: Vec<IpAddr>,
+    /// Time between the request to stop and the kill.
+    pub grace: Duration,
+    pub retry_budget: RetryBudgetSettings,
+    /// Connections that callers may hold open.
+    pub max_callers: usize,
+}
--- /dev/null
+++ b/gateway/src/edge/state.rs
@@ -0,0 +1,396 @@
+//! The state of one host, shared by its sockets on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_channel::oneshot;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::connection_pool::ConnectionPool;
+use super::dialect::WireDialect;
+use super::metrics::EdgeMetrics;
+use super::placement::Placement;
+use super::settings::EdgeSettings;
+use crate::catalog::{CatalogChange, CatalogState, ConfigurationImage, EndpointEntry, RemovalHold};
+use crate::configs::SchedulerSettings;
+use crate::ids::{EndpointId, FastMap, HostAddress, Incarnation, TicketNumber};
+use crate::limits::{RetryBudget, UsageCaps};
+use crate::membership::{BeatNews, MemberTable, MemberView, PeerBeat};
+use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
+
+/// Hosts that one beat names, so that a host finds all others from any one.
+const HEARD_PER_BEAT: usize = 8;
+
+pub(crate) struct EdgeState {
+    pub catalog: CatalogState,
+    pub scheduler: SchedulerState,
+    pub caps: UsageCaps,
+    pub budget: RetryBudget,
+    pub members: MemberTable,
+    removals: RemovalHold,
+    waiting: FastMap<TicketNumber, oneshot::Sender<Placement>>,
+    last_ticket: TicketNumber,
+    beat_number: u64,
+    view: MemberView,
+    store_reached: bool,
+    /// Endpoints were listed once, so that later ones are new.
+    endpoints_listed: bool,
+    pub leaving_since: Option<Instant>,
+}
+
+/// One host: settings, state, connections.
+pub struct Edge {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) dialect: WireDialect,
+    pub(crate) state: RefCell<EdgeState>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) metrics: RefCell<EdgeMetrics>,
+    /// Requests that were read and whose answers are not complete.
+    pub(crate) in_flight: Cell<usize>,
+    incarnation: Incarnation,
+    random: RefCell<SmallRng>,
+}
+
+impl Edge {
+    #[must_use]
+    pub fn new(settings: EdgeSettings, dialect: WireDialect) -> Rc<Self> {
+        let mut random = SmallRng::from_os_rng();
+        let incarnation = random.random();
+        let now = Instant::now();
+        let mut members = MemberTable::new(settings.host);
+        for seed in &settings.seeds {
+            members.introduce(*seed, now);
+        }
+        let state = EdgeState {
+            catalog: CatalogState::default(),
+            scheduler: SchedulerState::new(SchedulerSettings::default(), incarnation),
+            caps: UsageCaps::new(),
+            budget: RetryBudget::new(settings.retry_budget.clone()),
+            members,
+            removals: RemovalHold::default(),
+            waiting: FastMap::default(),
+            last_ticket: 0,
+            beat_number: 0,
+            view: MemberView::default(),
+            store_reached: false,
+            endpoints_listed: false,
+            leaving_since: None,
+        };
+        Rc::new(Self {
+            settings,
+            dialect,
+            state: RefCell::new(state),
+            pool: ConnectionPool::default(),
+            metrics: RefCell::default(),
+            in_flight: Cell::new(0),
+            incarnation,
+            random: RefCell::new(random),
+        })
+    }
+
+    /// Draws a number, uniform in 0..1.
+    pub(crate) fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Takes a change that was published.
+    pub fn apply(&self, change: CatalogChange) {
+        let now = Instant::now();
+        match change {
+            CatalogChange::Configuration(image) => self.install(*image, now),
+            CatalogChange::ZoneTakenOut(zone) => {
+                if self.state.borrow_mut().catalog.take_out_zone(zone.clone()) {
+                    log::info!(zone = zone.as_str(); "zone: taken out");
+                    self.schedule(SchedulerEvent::ZoneTakenOut(zone));
+                }
+            }
+            CatalogChange::ZoneReturned(zone) => {
+                if self.state.borrow_mut().catalog.return_zone(&zone) {
+                    log::info!(zone = zone.as_str(); "zone: returned");
+                    self.schedule(SchedulerEvent::ZoneReturned(zone));
+                }
+            }
+            CatalogChange::EndpointSeen(entry) => self.see_endpoint(*entry),
+            CatalogChange::EndpointGone(id) => self.lose_endpoint(&id, now),
+            CatalogChange::RolloutOrdered {
+                service, target, ..
+            } => {
+                log::warn!(service = service.as_str(), target = target.as_str(); "rollout: ordered, not supported yet");
+            }
+            CatalogChange::RolloutWithdrawn(service) => {
+                log::info!(service = service.as_str(); "rollout: withdrawn");
+            }
+        }
+    }
+
+    /// Takes the whole list of endpoints; those missing from it are gone.
+    pub fn relist_endpoints(&self, entries: Vec<EndpointEntry>) {
+        let missing: Vec<EndpointId> = {
+            let state = self.state.borrow();
+            let known = state.catalog.endpoints();
+            known
+                .filter(|known| !entries.iter().any(|entry| entry.id == known.id))
+                .map(|known| known.id.clone())
+                .collect()
+        };
+        for entry in entries {
+            self.see_endpoint(entry);
+        }
+        let now = Instant::now();
+        for id in missing {
+            self.lose_endpoint(&id, now);
+        }
+        self.state.borrow_mut().endpoints_listed = true;
+    }
+
+    /// The store answered.
+    pub fn note_store_answered(&self) {
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        if !state.store_reached {
+            log::info!(config_version = state.catalog.version(); "store: reached");
+        }
+        state.store_reached = true;
+        state.removals.note_store_answered(now);
+    }
+
+    /// The store refused, broke or gave no answer.
+    pub fn note_store_failed(&self, cause: &str) {
+        let state = &mut *self.state.borrow_mut();
+        if state.store_reached {
+            log::warn!(config_version = state.catalog.version(), cause = cause; "store: lost");
+        }
+        state.store_reached = false;
+        state.removals.note_store_failed();
+    }
+
+    /// Adds a host that registered itself.
+    pub fn introduce_host(&self, host: HostAddress) {
+        self.state
+            .borrow_mut()
+            .members
+            .introduce(host, Instant::now());
+    }
+
+    /// Whether this host may be named to callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.leaving_since.is_none() && state.catalog.version() > 0 && state.endpoints_listed
+    }
+
+    /// Version of the configuration in force; 0 before the first one.
+    #[must_use]
+    pub fn catalog_version(&self) -> u64 {
+        self.state.borrow().catalog.version()
+    }
+
+    /// Feeds the scheduler and performs what it decides.
+    pub(crate) fn schedule(&self, event: SchedulerEvent) {
+        let now = Instant::now();
+        let effects = self.state.borrow_mut().scheduler.reduce(event, now);
+        for effect in effects {
+            self.perform(effect);
+        }
+    }
+
+    fn perform(&self, effect: SchedulerEffect) {
+        let (ticket, placement) = match effect {
+            SchedulerEffect::Dispatch { ticket, endpoint } => (ticket, Placement::Placed(endpoint)),
+            SchedulerEffect::Refuse {
+                ticket,
+                reason,
+                retry_after,
+            } => {
+                let placement = Placement::Refused {
+                    reason,
+                    retry_after,
+                };
+                (ticket, placement)
+            }
+        };
+        let waiting = self.state.borrow_mut().waiting.remove(&ticket);
+        let delivered = waiting.is_some_and(|sender| sender.send(placement).is_ok());
+        if !delivered {
+            // The caller left in the same instant.
+            self.end_run(ticket, RunEnd::Abandoned);
+        }
+    }
+
+    pub(crate) fn end_run(&self, ticket: TicketNumber, end: RunEnd) {
+        self.schedule(SchedulerEvent::Ended {
+            ticket,
+            end,
+            events: 0,
+            streamed_for: std::time::Duration::ZERO,
+        });
+    }
+
+    pub(crate) fn open_ticket(&self) -> (TicketNumber, oneshot::Receiver<Placement>) {
+        let state = &mut *self.state.borrow_mut();
+        state.last_ticket += 1;
+        let (sender, receiver) = oneshot::channel();
+        state.waiting.insert(state.last_ticket, sender);
+        (state.last_ticket, receiver)
+    }
+
+    pub(crate) fn forget_ticket(&self, ticket: TicketNumber) {
+        self.state.borrow_mut().waiting.remove(&ticket);
+    }
+
+    pub(crate) fn count(&self, name: &'static str) {
+        self.metrics.borrow_mut().count(name);
+    }
+
+    /// Takes a beat of a peer; true when the peer should hear from this host at once.
+    pub(crate) fn note_beat(&self, beat: PeerBeat) -> bool {
+        let now = Instant::now();
+        let news = {
+            let state = &mut *self.state.borrow_mut();
+            let news = state.members.note_beat(&beat, now);
+            if news != BeatNews::Stale {
+                let caps = &mut state.caps;
+                caps.note_peer(beat.host, beat.incarnation, &beat.usage, now);
+            }
+            news
+        };
+        if news == BeatNews::Stale {
+            return false;
+        }
+        if news == BeatNews::Appeared {
+            log::info!(peer = beat.host.to_string().as_str(), zone = beat.zone.as_str(), ready = beat.ready; "peer: heard");
+        }
+        self.schedule(SchedulerEvent::PeerReported {
+            peer: beat.host,
+            reports: beat.loads,
+        });
+        news == BeatNews::Appeared
+    }
+
+    /// Builds the next beat.
+    pub(crate) fn next_beat(&self) -> PeerBeat {
+        let ready = self.is_ready();
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        state.beat_number += 1;
+        PeerBeat {
+            host: self.settings.host,
+            zone: self.settings.zone.clone(),
+            incarnation: self.incarnation,
+            number: state.beat_number,
+            ready,
+            leaving: state.leaving_since.is_some(),
+            catalog_version: state.catalog.version(),
+            loads: state.scheduler.load_report(),
+            usage: state.caps.reports(),
+            heard: state.members.audible(HEARD_PER_BEAT, now),
+        }
+    }
+
+    /// Regular work: time-outs, due removals, the view of the hosts.
+    pub(crate) fn tick(&self) {
+        let now = Instant::now();
+        let (due, view_changed, has_waiting) = {
+            let state = &mut *self.state.borrow_mut();
+            let due = state.removals.take_due(now);
+            let view = state.members.view(state.store_reached, now);
+            let view_changed = view != state.view;
+            if view_changed {
+                let hosts = view.counted.len();
+                log::info!(hosts = hosts, silent = view.silent; "hosts: view changed");
+                state.caps.set_share(hosts, view.silent, now);
+                state.budget.set_hosts(hosts);
+                state.view = view;
+            }
+            (due, view_changed, state.scheduler.has_waiting())
+        };
+        for id in due {
+            self.remove_endpoint(&id);
+        }
+        if view_changed {
+            let hosts = self.state.borrow().view.counted.clone();
+            self.schedule(SchedulerEvent::HostsChanged {
+                own: self.settings.host,
+                hosts,
+            });
+        }
+        if has_waiting {
+            self.schedule(SchedulerEvent::Tick);
+        }
+    }
+
+    /// Addresses that callers may use: every host that answers, this one first when it does.
+    pub(crate) fn directory(&self, most: usize) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let port = self.settings.callers.port();
+        let own = self.is_ready().then_some(self.settings.callers);
+        let state = self.state.borrow();
+        let peers = state.members.serving(now);
+        own.into_iter()
+            .chain(peers.into_iter().map(|(host, _)| (host, port).into()))
+            .take(most)
+            .collect()
+    }
+
+    fn install(&self, image: ConfigurationImage, now: Instant) {
+        let version = image.version;
+        let services = {
+            let state = &mut *self.state.borrow_mut();
+            let before = state.catalog.version();
+            if !state.catalog.install(image) {
+                return;
+            }
+            log::info!(before = before, version = version; "config: in force");
+            let routing = state.catalog.routing();
+            state.caps.configure(routing.workspaces(), now);
+            routing.services().cloned().collect()
+        };
+        self.schedule(SchedulerEvent::ServicesChanged(services));
+    }
+
+    fn see_endpoint(&self, entry: EndpointEntry) {
+        let (entry, known) = {
+            let state = &mut *self.state.borrow_mut();
+            state.removals.cancel(&entry.id);
+            let before = state.catalog.endpoint(&entry.id);
+            if before.is_some_and(|before| **before == entry) {
+                return;
+            }
+            let known = !state.endpoints_listed;
+            (state.catalog.insert_endpoint(entry), known)
+        };
+        log::info!(
+            endpoint = entry.id.as_str(), service = entry.service.as_str(), zone = entry.zone.as_str(),
+            version = entry.version.as_str(), draining = entry.draining, cold_ms = entry.cold_for.as_millis();
+            "endpoint: seen"
+        );
+        self.schedule(SchedulerEvent::EndpointSeen { entry, known });
+    }
+
+    fn lose_endpoint(&self, id: &EndpointId, now: Instant) {
+        let admitted = self.state.borrow_mut().removals.admits_removal(id, now);
+        if admitted {
+            self.remove_endpoint(id);
+        } else {
+            log::info!(endpoint = id.as_str(); "endpoint: removal held back");
+        }
+    }
+
+    fn remove_endpoint(&self, id: &EndpointId) {
+        if self
+            .state
+            .borrow_mut()
+            .catalog
+            .remove_endpoint(id)
+            .is_none()
+        {
+            return;
+        }
+        log::info!(endpoint = id.as_str(); "endpoint: gone");
+        self.pool.drop_endpoint(id);
+        self.schedule(SchedulerEvent::EndpointGone(id.clone()));
+    }
+}
--- /dev/null
+++ b/gateway/src/limits/mod.rs
@@ -0,0 +1,7 @@
+//! Limits that count over all hosts. Callers use `UsageCaps` and `RetryBudget`.
+
+mod retry_budget;
+mod usage_cap;
+
+pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use usage_cap::{UsageCaps, UsageReport, UsageVerdict};
--- /dev/null
+++ b/gateway/src/limits/usage_cap.rs
@@ -0,0 +1,208 @@
+//! Caps on what a workspace uses, over all hosts.
+//!
+//! Each host keeps one bucket per workspace. It takes from it what it admits itself and what its
+//! peers report. A silent peer may still be serving callers; its equal share of the rate is left
+//! to it, so that hosts that cannot reach each other do not spend the same allowance twice.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{UsageCap, UsageUnit, WorkspaceEntry};
+use crate::ids::{FastMap, HostAddress, Incarnation, NameHash, WorkspaceName, name_hash};
+
+/// Longest wait that a caller over its cap is told.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Shortest such wait.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What one host admitted for one workspace since its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    pub workspace: NameHash,
+    pub admitted: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UsageVerdict {
+    Admitted,
+    /// Over the cap.
+    Refused {
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct CapBucket {
+    cap: UsageCap,
+    level: f64,
+    filled: Instant,
+    /// Admitted by this host since its start.
+    admitted: u64,
+}
+
+impl CapBucket {
+    fn fill(&mut self, share: f64, now: Instant) {
+        let elapsed = now.duration_since(self.filled).as_secs_f64();
+        self.level = (self.level + elapsed * self.cap.rate_per_s * share).min(self.cap.burst);
+        self.filled = now;
+    }
+}
+
+#[derive(Debug)]
+struct PeerUsage {
+    incarnation: Incarnation,
+    admitted: FastMap<NameHash, u64>,
+}
+
+/// The buckets of all capped workspaces.
+#[derive(Debug, Default)]
+pub struct UsageCaps {
+    buckets: FastMap<WorkspaceName, CapBucket>,
+    names: FastMap<NameHash, WorkspaceName>,
+    peers: FastMap<HostAddress, PeerUsage>,
+    /// Part of each rate that is not left to silent peers.
+    share: f64,
+    changed: bool,
+}
+
+impl UsageCaps {
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            share: 1.0,
+            ..Self::default()
+        }
+    }
+
+    /// Takes over the caps of a new configuration. Levels stay; a new bucket starts empty, so
+    /// that a restart of all hosts grants no second burst.
+    pub fn configure<'a>(
+        &mut self,
+        workspaces: impl Iterator<Item = &'a Rc<WorkspaceEntry>>,
+        now: Instant,
+    ) {
+        let mut previous = std::mem::take(&mut self.buckets);
+        self.names.clear();
+        for workspace in workspaces {
+            let Some(cap) = workspace.cap else { continue };
+            let name = workspace.name.clone();
+            self.names.insert(name_hash(&name), name.clone());
+            let mut bucket = previous.remove(&name).unwrap_or(CapBucket {
+                cap,
+                level: 0.0,
+                filled: now,
+                admitted: 0,
+            });
+            bucket.fill(self.share, now);
+            bucket.cap = cap;
+            bucket.level = bucket.level.min(cap.burst);
+            self.buckets.insert(name, bucket);
+        }
+    }
+
+    /// Sets which part of each rate this host and the peers that it hears may use.
+    pub fn set_share(&mut self, hosts: usize, silent: usize, now: Instant) {
+        #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
+        let share = 1.0 - silent as f64 / hosts.max(1) as f64;
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(self.share, now);
+        }
+        self.share = share;
+    }
+
+    /// Admits a request or refuses it. A bucket above zero admits a request of any size; the
+    /// debt is paid before the next one.
+    pub fn admit(
+        &mut self,
+        workspace: &WorkspaceName,
+        tokens: Option<u32>,
+        now: Instant,
+    ) -> UsageVerdict {
+        let share = self.share;
+        let Some(bucket) = self.buckets.get_mut(workspace) else {
+            return UsageVerdict::Admitted;
+        };
+        bucket.fill(share, now);
+        let cost = cost_of(&bucket.cap, tokens);
+        if bucket.level <= 0.0 {
+            let rate = (bucket.cap.rate_per_s * share).max(1.0);
+            let wait = Duration::from_secs_f64((-bucket.level / rate).clamp(0.0, 3.0));
+            let retry_after = wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER);
+            return UsageVerdict::Refused { retry_after };
+        }
+        bucket.level -= f64::from(cost);
+        bucket.admitted += u64::from(cost);
+        self.changed = true;
+        UsageVerdict::Admitted
+    }
+
+    /// Gives back what a request took that did not run anywhere.
+    pub fn give_back(&mut self, workspace: &WorkspaceName, tokens: Option<u32>) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            let cost = f64::from(cost_of(&bucket.cap, tokens));
+            bucket.level = (bucket.level + cost).min(bucket.cap.burst);
+        }
+    }
+
+    /// Takes what a peer admitted since its last report. The first report of an incarnation that
+    /// was running before this host heard of it only sets the mark.
+    pub fn note_peer(
+        &mut self,
+        peer: HostAddress,
+        incarnation: Incarnation,
+        reports: &[UsageReport],
+        now: Instant,
+    ) {
+        let share = self.share;
+        let known = self.peers.get(&peer).is_some();
+        let usage = self.peers.entry(peer).or_insert_with(|| PeerUsage {
+            incarnation,
+            admitted: FastMap::default(),
+        });
+        let restarted = usage.incarnation != incarnation;
+        if restarted {
+            usage.incarnation = incarnation;
+            usage.admitted.clear();
+        }
+        for report in reports {
+            let before = usage.admitted.insert(report.workspace, report.admitted);
+            // A known peer that reports a workspace for the first time has just begun with it.
+            let before = before.unwrap_or(if known { 0 } else { report.admitted });
+            let more = report.admitted.saturating_sub(before);
+            let name = self.names.get(&report.workspace);
+            if let Some(bucket) = name.and_then(|name| self.buckets.get_mut(name)) {
+                bucket.fill(share, now);
+                #[expect(clippy::cast_precision_loss, reason = "tokens of a short time")]
+                let more = more as f64;
+                bucket.level -= more;
+            }
+        }
+    }
+
+    /// Own usage for the peers, if it changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    #[must_use]
+    pub fn reports(&self) -> Vec<UsageReport> {
+        let used = self
+            .buckets
+            .iter()
+            .filter(|(_, bucket)| bucket.admitted > 0);
+        used.map(|(name, bucket)| UsageReport {
+            workspace: name_hash(name),
+            admitted: bucket.admitted,
+        })
+        .collect()
+    }
+}
+
+fn cost_of(cap: &UsageCap, tokens: Option<u32>) -> u32 {
+    match cap.unit {
+        UsageUnit::Requests => 1,
+        UsageUnit::Tokens => tokens.unwrap_or(cap.default_tokens),
+    }
+}
--- /dev/null
+++ b/gateway/src/membership/beat.rs
@@ -0,0 +1,42 @@
+//! The datagram that hosts send to each other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{HostAddress, Incarnation, ZoneName};
+use crate::limits::UsageReport;
+use crate::scheduler::EndpointReport;
+
+/// A beat replaces every earlier one of its sender; a lost one needs no repeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    pub host: HostAddress,
+    pub zone: ZoneName,
+    pub incarnation: Incarnation,
+    /// Rises with each beat; an older one that comes late is dropped.
+    pub number: u64,
+    /// Answers callers.
+    pub ready: bool,
+    /// Is about to stop.
+    pub leaving: bool,
+    pub catalog_version: u64,
+    pub loads: Vec<EndpointReport>,
+    pub usage: Vec<UsageReport>,
+    /// A few other hosts that the sender hears, so that a host finds all from any one.
+    pub heard: Vec<HostAddress>,
+}
+
+impl PeerBeat {
+    /// # Panics
+    ///
+    /// Never panics: every field has an encoding.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a beat has an encoding")
+    }
+
+    /// Returns `None` for bytes that are no beat.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- /dev/null
+++ b/gateway/src/membership/members.rs
@@ -0,0 +1,176 @@
+//! The table of hosts.
+
+use std::time::{Duration, Instant};
+
+use super::beat::PeerBeat;
+use crate::ids::{FastMap, HostAddress, Incarnation, ZoneName};
+
+/// A host that is silent for longer is not named to callers: eight missed beats. Callers must
+/// not be sent to a host that has been gone for some seconds.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// A host that was never heard is called for as long; it may just be starting.
+const UNHEARD_LIMIT: Duration = Duration::from_secs(30);
+/// After this silence a host counts as gone for good, if most hosts can be heard.
+const GONE_AFTER: Duration = Duration::from_secs(15);
+
+#[derive(Debug)]
+struct MemberEntry {
+    zone: ZoneName,
+    incarnation: Incarnation,
+    number: u64,
+    ready: bool,
+    leaving: bool,
+    heard: Option<Instant>,
+    introduced: Instant,
+}
+
+/// What a beat changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeatNews {
+    /// Older than the last one; nothing of it counts.
+    Stale,
+    /// The sender was not heard before, or was silent.
+    Appeared,
+    Known,
+}
+
+/// Hosts as this host sees them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberView {
+    /// Hosts that may be serving callers, this one among them.
+    pub counted: Vec<HostAddress>,
+    /// How many of them are silent.
+    pub silent: usize,
+}
+
+#[derive(Debug)]
+pub struct MemberTable {
+    own: HostAddress,
+    members: FastMap<HostAddress, MemberEntry>,
+}
+
+impl MemberTable {
+    #[must_use]
+    pub fn new(own: HostAddress) -> Self {
+        Self {
+            own,
+            members: FastMap::default(),
+        }
+    }
+
+    /// Adds a host that is known by its address only.
+    pub fn introduce(&mut self, host: HostAddress, now: Instant) {
+        if host == self.own {
+            return;
+        }
+        self.members.entry(host).or_insert_with(|| MemberEntry {
+            zone: ZoneName::default(),
+            incarnation: 0,
+            number: 0,
+            ready: false,
+            leaving: false,
+            heard: None,
+            introduced: now,
+        });
+    }
+
+    pub fn note_beat(&mut self, beat: &PeerBeat, now: Instant) -> BeatNews {
+        if beat.host == self.own {
+            return BeatNews::Stale;
+        }
+        self.introduce(beat.host, now);
+        for host in &beat.heard {
+            self.introduce(*host, now);
+        }
+        let Some(member) = self.members.get_mut(&beat.host) else {
+            return BeatNews::Stale;
+        };
+        let same = member.incarnation == beat.incarnation;
+        if same && beat.number <= member.number {
+            return BeatNews::Stale;
+        }
+        let news = if same && is_audible(member, now) {
+            BeatNews::Known
+        } else {
+            BeatNews::Appeared
+        };
+        member.zone.clone_from(&beat.zone);
+        member.incarnation = beat.incarnation;
+        member.number = beat.number;
+        member.ready = beat.ready;
+        member.leaving = beat.leaving;
+        member.heard = Some(now);
+        news
+    }
+
+    /// Hosts to which beats go.
+    #[must_use]
+    pub fn targets(&self, now: Instant) -> Vec<HostAddress> {
+        let wanted = self.members.iter().filter(|(_, member)| {
+            let since = member.heard.unwrap_or(member.introduced);
+            now.duration_since(since) <= UNHEARD_LIMIT
+        });
+        wanted.map(|(host, _)| *host).collect()
+    }
+
+    /// Hosts that answer callers, with their zones; this one is not among them.
+    #[must_use]
+    pub fn serving(&self, now: Instant) -> Vec<(HostAddress, ZoneName)> {
+        let serving = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.ready && !member.leaving && is_audible(member, now));
+        serving
+            .map(|(host, member)| (*host, member.zone.clone()))
+            .collect()
+    }
+
+    /// A few hosts that are heard, for the beat.
+    #[must_use]
+    pub fn audible(&self, most: usize, now: Instant) -> Vec<HostAddress> {
+        let audible = self
+            .members
+            .iter()
+            .filter(|(_, member)| is_audible(member, now));
+        audible.map(|(host, _)| *host).take(most).collect()
+    }
+
+    /// Hosts over which limits are shared.
+    ///
+    /// A host that falls silent may be cut off and still serving, so it counts on. It stops to
+    /// count only where this host is plainly on the greater side of any cut: it hears more than
+    /// half of the others and reaches the store.
+    #[must_use]
+    pub fn view(&self, store_reached: bool, now: Instant) -> MemberView {
+        let candidates: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.heard.is_some() && !member.leaving)
+            .collect();
+        let audible = candidates
+            .iter()
+            .filter(|(_, member)| is_audible(member, now))
+            .count();
+        let greater_side = store_reached && audible * 2 > candidates.len();
+        let mut counted = vec![self.own];
+        let mut silent = 0;
+        for (host, member) in candidates {
+            let gone = member
+                .heard
+                .is_none_or(|heard| now.duration_since(heard) > GONE_AFTER);
+            if gone && greater_side {
+                continue;
+            }
+            counted.push(*host);
+            silent += usize::from(!is_audible(member, now));
+        }
+        counted.sort_unstable();
+        MemberView { counted, silent }
+    }
+}
+
+fn is_audible(member: &MemberEntry, now: Instant) -> bool {
+    member
+        .heard
+        .is_some_and(|heard| now.duration_since(heard) <= SILENCE_LIMIT)
+}
--- /dev/null
+++ b/gateway/src/scheduler/choice.rs
@@ -0,0 +1,107 @@
+//! Chooses the endpoint for one request.
+
+use std::time::Instant;
+
+use super::endpoint_load::EndpointLoad;
+use super::pace::weighted_tokens;
+use super::types::WorkItem;
+use crate::catalog::ServiceEntry;
+use crate::configs::SchedulerSettings;
+
+/// Tokens in one event of a stream, about; an event holds several.
+const TOKENS_PER_EVENT: f64 = 7.0;
+/// Requests beyond its slots that a plain service is given: it queues a few, and they are short.
+const PLAIN_QUEUE_DEPTH: u32 = 2;
+
+/// What the choice found.
+pub(crate) enum EndpointChoice {
+    /// Index of the endpoint.
+    Found(usize),
+    /// Every endpoint that may be used is full.
+    Full,
+    /// No endpoint may be used.
+    Unavailable,
+}
+
+/// Picks the endpoint with the lowest expected cost.
+pub(crate) fn choose_endpoint(
+    endpoints: &mut [EndpointLoad],
+    item: &WorkItem,
+    service: Option<&ServiceEntry>,
+    zones_out: &[crate::ids::ZoneName],
+    settings: &SchedulerSettings,
+    mut draw: impl FnMut() -> f64,
+    now: Instant,
+) -> EndpointChoice {
+    let engine = service.is_some_and(|service| service.model_engine);
+    let mut best: Option<(f64, usize)> = None;
+    let mut usable = false;
+    for (index, load) in endpoints.iter_mut().enumerate() {
+        let entry = &load.entry;
+        if entry.service != item.service
+            || entry.draining
+            || zones_out.contains(&entry.zone)
+            || item.excluded.contains(&entry.id)
+            || load.health.is_blocked(now)
+        {
+            continue;
+        }
+        usable = true;
+        if !has_room(load, engine, settings, now) {
+            continue;
+        }
+        let noise = 1.0 + settings.score_noise * draw();
+        let cost = expected_cost(load, item, engine, settings, now) * noise;
+        if best.is_none_or(|(lowest, _)| cost < lowest) {
+            best = Some((cost, index));
+        }
+    }
+    match best {
+        Some((_, index)) => EndpointChoice::Found(index),
+        None if usable => EndpointChoice::Full,
+        None => EndpointChoice::Unavailable,
+    }
+}
+
+fn has_room(
+    load: &mut EndpointLoad,
+    engine: bool,
+    settings: &SchedulerSettings,
+    now: Instant,
+) -> bool {
+    if load.health.is_suspect() && load.own_active() > 0 {
+        return false;
+    }
+    let depth = if engine { 0 } else { PLAIN_QUEUE_DEPTH };
+    let places = load.entry.slots.max(1) + depth;
+    if load.active(settings.peer_expiry, now) >= places {
+        return false;
+    }
+    let share = load.cold_share_per_s;
+    load.gate.admits(share, now)
+}
+
+/// Expected cost in milliseconds: the time to the first byte, what the run costs others, and
+/// what is lost if the endpoint fails.
+fn expected_cost(
+    load: &EndpointLoad,
+    item: &WorkItem,
+    engine: bool,
+    settings: &SchedulerSettings,
+    now: Instant,
+) -> f64 {
+    let active = f64::from(load.active(settings.peer_expiry, now));
+    let slots = f64::from(load.entry.slots.max(1));
+    let failure = load.health.failure_share(settings, now) * settings.failure_penalty_ms;
+    if !engine {
+        return load.pace.answer_ms() * (1.0 + active / slots) + failure;
+    }
+    let own = weighted_tokens(item.prompt_tokens);
+    let ahead = load.unread_tokens(settings.peer_expiry, now);
+    let first_byte = load.pace.first_byte_ms(ahead + own);
+    let interference = settings.interference_weight * load.pace.read_ms(own) * active;
+    let events = f64::from(item.output_tokens) / TOKENS_PER_EVENT;
+    let crowding = 1.0 + active / slots;
+    let decode = settings.decode_weight * events * load.pace.event_ms() * crowding;
+    first_byte + interference + decode + failure
+}
--- /dev/null
+++ b/gateway/src/scheduler/cold_gate.rs
@@ -0,0 +1,41 @@
+//! Bounds what this host sends to an endpoint that is cold.
+
+use std::time::Instant;
+
+/// A bucket that holds at most one request, filled at this host's share of the endpoint's rate.
+#[derive(Debug, Default)]
+pub(crate) struct ColdGate {
+    cold_until: Option<Instant>,
+    permits: f64,
+    filled: Option<Instant>,
+}
+
+impl ColdGate {
+    /// Extends the cold time; an earlier end is ignored.
+    pub fn mark_cold(&mut self, until: Instant) {
+        if self.cold_until.is_none_or(|known| known < until) {
+            self.cold_until = Some(until);
+        }
+    }
+
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether one more request may be sent, at `rate_per_s` for this host.
+    pub fn admits(&mut self, rate_per_s: f64, now: Instant) -> bool {
+        if !self.is_cold(now) {
+            return true;
+        }
+        let elapsed = self
+            .filled
+            .map_or(1.0, |filled| now.duration_since(filled).as_secs_f64());
+        self.permits = (self.permits + elapsed * rate_per_s).min(1.0);
+        self.filled = Some(now);
+        self.permits >= 1.0
+    }
+
+    pub fn consume(&mut self) {
+        self.permits = (self.permits - 1.0).max(0.0);
+    }
+}
--- /dev/null
+++ b/gateway/src/scheduler/endpoint_health.rs
@@ -0,0 +1,64 @@
+//! What failures of requests say of an endpoint. No status checks are sent.
+
+use std::time::Instant;
+
+use super::types::RunEnd;
+use crate::configs::SchedulerSettings;
+
+/// Weight of one more result in the average of failures.
+const RESULT_WEIGHT: f64 = 0.2;
+
+#[derive(Debug, Default)]
+pub(crate) struct EndpointHealth {
+    /// Average of failures, 0 to 1, as of `noted`.
+    failure_share: f64,
+    noted: Option<Instant>,
+    /// Failures to reach it without a success since.
+    unreachable_streak: u32,
+    blocked_until: Option<Instant>,
+}
+
+impl EndpointHealth {
+    pub fn is_blocked(&self, now: Instant) -> bool {
+        self.blocked_until.is_some_and(|until| now < until)
+    }
+
+    /// Not reached lately: one request at a time finds out whether it is back.
+    pub fn is_suspect(&self) -> bool {
+        self.unreachable_streak > 0
+    }
+
+    pub fn failure_share(&self, settings: &SchedulerSettings, now: Instant) -> f64 {
+        let Some(noted) = self.noted else { return 0.0 };
+        let age = now.duration_since(noted).as_secs_f64();
+        self.failure_share * 0.5_f64.powf(age / settings.failure_half_life.as_secs_f64())
+    }
+
+    pub fn note(&mut self, end: RunEnd, settings: &SchedulerSettings, now: Instant) {
+        let failed = match end {
+            RunEnd::Completed => 0.0,
+            RunEnd::Failed | RunEnd::NotRun | RunEnd::Broken | RunEnd::Stalled => 1.0,
+            RunEnd::Unreachable | RunEnd::Misdirected => {
+                self.block(settings, now);
+                1.0
+            }
+            RunEnd::Abandoned => return,
+        };
+        let share = self.failure_share(settings, now);
+        self.failure_share = share + RESULT_WEIGHT * (failed - share);
+        self.noted = Some(now);
+    }
+
+    /// Any byte of an answer shows that the endpoint is there.
+    pub fn note_reached(&mut self) {
+        self.unreachable_streak = 0;
+        self.blocked_until = None;
+    }
+
+    fn block(&mut self, settings: &SchedulerSettings, now: Instant) {
+        let factor = 2_u32.pow(self.unreachable_streak.min(8));
+        let pause = (settings.first_backoff * factor).min(settings.longest_backoff);
+        self.unreachable_streak += 1;
+        self.blocked_until = Some(now + pause);
+    }
+}
--- /dev/null
+++ b/gateway/src/scheduler/endpoint_load.rs
@@ -0,0 +1,183 @@
+//! What is known of one endpoint: own runs, peers' reports, pace, health, warmth.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::cold_gate::ColdGate;
+use super::endpoint_health::EndpointHealth;
+use super::pace::{PaceEstimate, weighted_tokens};
+use super::types::{EndpointReport, RunEnd, WorkItem};
+use crate::catalog::{EndpointEntry, ServiceEntry};
+use crate::configs::SchedulerSettings;
+use crate::ids::{FastMap, HostAddress, NameHash, TicketNumber, name_hash};
+
+/// Unread prompt tokens that are reported at most; keeps reports within 32 bits.
+const MOST_REPORTED_TOKENS: f64 = 1e9;
+
+#[derive(Debug)]
+struct RunTrack {
+    sent: Instant,
+    tokens: f64,
+    /// Weighted tokens that the endpoint reads up to this run's first byte.
+    tokens_ahead: f64,
+    first_byte: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    active: u16,
+    unread_tokens: f64,
+    noted: Instant,
+}
+
+#[derive(Debug)]
+pub(crate) struct EndpointLoad {
+    pub entry: Rc<EndpointEntry>,
+    pub hash: NameHash,
+    pub health: EndpointHealth,
+    pub pace: PaceEstimate,
+    pub gate: ColdGate,
+    /// Requests per second that this host may send while the endpoint is cold.
+    pub cold_share_per_s: f64,
+    runs: FastMap<TicketNumber, RunTrack>,
+    peers: FastMap<HostAddress, PeerLoad>,
+}
+
+impl EndpointLoad {
+    pub fn new(entry: Rc<EndpointEntry>) -> Self {
+        Self {
+            hash: name_hash(&entry.id),
+            entry,
+            health: EndpointHealth::default(),
+            pace: PaceEstimate::default(),
+            gate: ColdGate::default(),
+            cold_share_per_s: 0.0,
+            runs: FastMap::default(),
+            peers: FastMap::default(),
+        }
+    }
+
+    pub fn start_run(&mut self, item: &WorkItem, expiry: Duration, now: Instant) {
+        let tokens = weighted_tokens(item.prompt_tokens);
+        let run = RunTrack {
+            sent: now,
+            tokens,
+            tokens_ahead: tokens + self.unread_tokens(expiry, now),
+            first_byte: None,
+        };
+        self.runs.insert(item.ticket, run);
+        self.gate.consume();
+    }
+
+    pub fn note_first_byte(&mut self, ticket: TicketNumber, engine: bool, now: Instant) {
+        self.health.note_reached();
+        let Some(run) = self.runs.get_mut(&ticket) else {
+            return;
+        };
+        if run.first_byte.is_some() {
+            return;
+        }
+        run.first_byte = Some(now);
+        let took = now.duration_since(run.sent);
+        if engine {
+            let tokens = run.tokens_ahead;
+            self.pace.note_first_byte(tokens, took);
+        } else {
+            self.pace.note_answer(took);
+        }
+    }
+
+    pub fn end_run(
+        &mut self,
+        ticket: TicketNumber,
+        end: RunEnd,
+        settings: &SchedulerSettings,
+        now: Instant,
+    ) {
+        self.runs.remove(&ticket);
+        self.health.note(end, settings, now);
+    }
+
+    pub fn own_active(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Requests that all hosts have here.
+    pub fn active(&self, expiry: Duration, now: Instant) -> u32 {
+        let peers: u32 = self
+            .fresh_peers(expiry, now)
+            .map(|load| u32::from(load.active))
+            .sum();
+        u32::try_from(self.runs.len())
+            .unwrap_or(u32::MAX)
+            .saturating_add(peers)
+    }
+
+    /// Weighted prompt tokens that the endpoint has still to read for all hosts.
+    pub fn unread_tokens(&self, expiry: Duration, now: Instant) -> f64 {
+        let peers: f64 = self
+            .fresh_peers(expiry, now)
+            .map(|load| load.unread_tokens)
+            .sum();
+        self.own_unread_tokens() + peers
+    }
+
+    fn own_unread_tokens(&self) -> f64 {
+        let unread = self.runs.values().filter(|run| run.first_byte.is_none());
+        unread.map(|run| run.tokens).sum()
+    }
+
+    fn fresh_peers(&self, expiry: Duration, now: Instant) -> impl Iterator<Item = &PeerLoad> {
+        self.peers
+            .values()
+            .filter(move |load| now.duration_since(load.noted) <= expiry)
+    }
+
+    pub fn set_peer(&mut self, peer: HostAddress, report: Option<&EndpointReport>, now: Instant) {
+        match report {
+            Some(report) => {
+                let load = PeerLoad {
+                    active: report.active,
+                    unread_tokens: f64::from(report.unread_tokens),
+                    noted: now,
+                };
+                self.peers.insert(peer, load);
+            }
+            None => {
+                self.peers.remove(&peer);
+            }
+        }
+    }
+
+    /// What this host tells its peers; `None` when it has nothing here.
+    pub fn report(&self) -> Option<EndpointReport> {
+        if self.runs.is_empty() {
+            return None;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to the range"
+        )]
+        let unread_tokens = self.own_unread_tokens().clamp(0.0, MOST_REPORTED_TOKENS) as u32;
+        Some(EndpointReport {
+            endpoint: self.hash,
+            active: u16::try_from(self.runs.len()).unwrap_or(u16::MAX),
+            unread_tokens,
+        })
+    }
+
+    /// Cold from now on, for as long as its service says.
+    pub fn mark_cold(&mut self, service: Option<&ServiceEntry>, now: Instant) {
+        if let Some(service) = service.filter(|service| service.cold_rate_per_s > 0.0) {
+            self.gate.mark_cold(now + service.cold_start);
+        }
+    }
+
+    /// A new incarnation under the same id: nothing of the old one holds.
+    pub fn restart(&mut self, entry: Rc<EndpointEntry>) {
+        let cold_share_per_s = self.cold_share_per_s;
+        *self = Self::new(entry);
+        self.cold_share_per_s = cold_share_per_s;
+    }
+}
--- /dev/null
+++ b/gateway/src/scheduler/mod.rs
@@ -0,0 +1,13 @@
+//! Decides which endpoint runs which request and when. Callers use `SchedulerState::reduce`.
+
+mod choice;
+mod cold_gate;
+mod endpoint_health;
+mod endpoint_load;
+mod pace;
+mod queue;
+mod state;
+mod types;
+
+pub use state::SchedulerState;
+pub use types::{EndpointReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem};
--- /dev/null
+++ b/gateway/src/scheduler/queue.rs
@@ -0,0 +1,82 @@
+//! Requests that wait at this host for an endpoint.
+
+use std::time::{Duration, Instant};
+
+use super::types::WorkItem;
+use crate::configs::SchedulerSettings;
+use crate::ids::{ServiceName, TicketNumber};
+
+#[derive(Debug, Default)]
+pub(crate) struct WaitQueue {
+    items: Vec<WorkItem>,
+}
+
+impl WaitQueue {
+    pub fn push(&mut self, item: WorkItem) {
+        self.items.push(item);
+    }
+
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    pub fn remove(&mut self, ticket: TicketNumber) -> Option<WorkItem> {
+        let index = self.items.iter().position(|item| item.ticket == ticket)?;
+        Some(self.items.remove(index))
+    }
+
+    /// Takes the items whose wait is over.
+    pub fn take_expired(&mut self, settings: &SchedulerSettings, now: Instant) -> Vec<WorkItem> {
+        let (expired, rest) = std::mem::take(&mut self.items)
+            .into_iter()
+            .partition(|item| now >= wait_end(item, settings));
+        self.items = rest;
+        expired
+    }
+
+    /// Tickets of one service in the order in which they should be sent.
+    ///
+    /// A request that has missed its target counts as one tier lower: a late answer is worth
+    /// less to its caller than one that can still be on time.
+    pub fn ordered(&self, service: &ServiceName, now: Instant) -> Vec<TicketNumber> {
+        let mut waiting: Vec<_> = self
+            .items
+            .iter()
+            .filter(|item| item.service == *service)
+            .map(|item| {
+                let late = now >= item.on_time_until;
+                let rank = u16::from(item.tier) + u16::from(late);
+                (rank, late, item.arrived, item.ticket)
+            })
+            .collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(.., ticket)| ticket).collect()
+    }
+
+    pub fn get(&self, ticket: TicketNumber) -> Option<&WorkItem> {
+        self.items.iter().find(|item| item.ticket == ticket)
+    }
+
+    pub fn services(&self) -> Vec<ServiceName> {
+        let mut services: Vec<_> = self.items.iter().map(|item| item.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+}
+
+/// When a request has waited as long as it may: its tier's bound, and never past half of its time.
+fn wait_end(item: &WorkItem, settings: &SchedulerSettings) -> Instant {
+    let last = settings.queue_wait.len().saturating_sub(1);
+    let bound = settings
+        .queue_wait
+        .get(usize::from(item.tier).min(last))
+        .copied()
+        .unwrap_or(Duration::ZERO);
+    let half = item.deadline.saturating_duration_since(item.arrived) / 2;
+    item.arrived + bound.min(half)
+}
--- /dev/null
+++ b/gateway/src/scheduler/state.rs
@@ -0,0 +1,333 @@
+//! The reducer: one event in, effects out.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::choice::{EndpointChoice, choose_endpoint};
+use super::endpoint_load::EndpointLoad;
+use super::queue::WaitQueue;
+use super::types::{
+    EndpointReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem,
+};
+use crate::catalog::{EndpointEntry, ServiceEntry};
+use crate::configs::SchedulerSettings;
+use crate::ids::{
+    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, ZoneName, name_hash,
+};
+
+/// Shortest wait that a refused caller is told: the time in which a few places come free.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest such wait; callers honour a third of their time at most.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(3);
+
+#[derive(Debug)]
+pub struct SchedulerState {
+    settings: SchedulerSettings,
+    services: FastMap<ServiceName, ServiceEntry>,
+    endpoints: Vec<EndpointLoad>,
+    zones_out: Vec<ZoneName>,
+    queue: WaitQueue,
+    /// Where the runs of this host are.
+    placed: FastMap<TicketNumber, EndpointId>,
+    own: Option<HostAddress>,
+    hosts: Vec<HostAddress>,
+    random: SmallRng,
+    /// Own load changed since the last report.
+    load_changed: bool,
+}
+
+impl SchedulerState {
+    #[must_use]
+    pub fn new(settings: SchedulerSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            services: FastMap::default(),
+            endpoints: Vec::new(),
+            zones_out: Vec::new(),
+            queue: WaitQueue::default(),
+            placed: FastMap::default(),
+            own: None,
+            hosts: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+            load_changed: false,
+        }
+    }
+
+    pub fn reduce(&mut self, event: SchedulerEvent, now: Instant) -> Vec<SchedulerEffect> {
+        match event {
+            SchedulerEvent::Submitted(item) => return self.submit(item, now),
+            SchedulerEvent::Withdrawn(ticket) => {
+                self.queue.remove(ticket);
+                return Vec::new();
+            }
+            SchedulerEvent::FirstByte(ticket) => {
+                self.note_first_byte(ticket, now);
+                return Vec::new();
+            }
+            SchedulerEvent::Ended {
+                ticket,
+                end,
+                events,
+                streamed_for,
+            } => self.end_run(ticket, end, events, streamed_for, now),
+            SchedulerEvent::ServicesChanged(services) => {
+                self.services = services
+                    .into_iter()
+                    .map(|service| (service.name.clone(), service))
+                    .collect();
+                self.share_cold_rates();
+            }
+            SchedulerEvent::EndpointSeen { entry, known } => self.see_endpoint(entry, known, now),
+            SchedulerEvent::EndpointGone(id) => self.endpoints.retain(|load| load.entry.id != id),
+            SchedulerEvent::ZoneTakenOut(zone) => {
+                if !self.zones_out.contains(&zone) {
+                    self.zones_out.push(zone);
+                }
+            }
+            SchedulerEvent::ZoneReturned(zone) => self.return_zone(&zone, now),
+            SchedulerEvent::PeerReported { peer, reports } => {
+                self.note_peer(peer, &reports, now);
+            }
+            SchedulerEvent::HostsChanged { own, hosts } => {
+                self.own = Some(own);
+                self.hosts = hosts;
+                self.share_cold_rates();
+            }
+            SchedulerEvent::Tick => {}
+        }
+        self.send_waiting(now)
+    }
+
+    /// Whether requests wait, so that time alone may change something.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    #[must_use]
+    pub fn queue_length(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Own load for the peers, if it changed since the last call.
+    pub fn take_changed_report(&mut self) -> Option<Vec<EndpointReport>> {
+        std::mem::take(&mut self.load_changed).then(|| self.load_report())
+    }
+
+    #[must_use]
+    pub fn load_report(&self) -> Vec<EndpointReport> {
+        self.endpoints
+            .iter()
+            .filter_map(EndpointLoad::report)
+            .collect()
+    }
+
+    fn submit(&mut self, item: WorkItem, now: Instant) -> Vec<SchedulerEffect> {
+        if self.queue.len() >= self.settings.queue_length {
+            return vec![self.refuse(&item, RefusalReason::QueueFull)];
+        }
+        let service = item.service.clone();
+        self.queue.push(item);
+        let mut effects = Vec::new();
+        self.send_service(&service, now, &mut effects);
+        effects
+    }
+
+    fn send_waiting(&mut self, now: Instant) -> Vec<SchedulerEffect> {
+        let mut effects = Vec::new();
+        if self.queue.is_empty() {
+            return effects;
+        }
+        for item in self.queue.take_expired(&self.settings, now) {
+            effects.push(self.refuse(&item, RefusalReason::Waited));
+        }
+        for service in self.queue.services() {
+            self.send_service(&service, now, &mut effects);
+        }
+        effects
+    }
+
+    /// Sends what has room, in order. A request that only excluded or full endpoints could take
+    /// does not hold up the ones behind it when it has exclusions of its own.
+    fn send_service(
+        &mut self,
+        service: &ServiceName,
+        now: Instant,
+        effects: &mut Vec<SchedulerEffect>,
+    ) {
+        for ticket in self.queue.ordered(service, now) {
+            let Some(item) = self.queue.get(ticket) else {
+                continue;
+            };
+            let random = &mut self.random;
+            let choice = choose_endpoint(
+                &mut self.endpoints,
+                item,
+                self.services.get(service),
+                &self.zones_out,
+                &self.settings,
+                || random.random::<f64>(),
+                now,
+            );
+            match choice {
+                EndpointChoice::Found(index) => {
+                    let Some(item) = self.queue.remove(ticket) else {
+                        continue;
+                    };
+                    let load = &mut self.endpoints[index];
+                    load.start_run(&item, self.settings.peer_expiry, now);
+                    let endpoint = Rc::clone(&load.entry);
+                    self.placed.insert(ticket, endpoint.id.clone());
+                    self.load_changed = true;
+                    effects.push(SchedulerEffect::Dispatch { ticket, endpoint });
+                }
+                EndpointChoice::Full if item.excluded.is_empty() => return,
+                EndpointChoice::Full => {}
+                EndpointChoice::Unavailable if item.excluded.is_empty() => {}
+                EndpointChoice::Unavailable => {
+                    if let Some(item) = self.queue.remove(ticket) {
+                        effects.push(self.refuse(&item, RefusalReason::NoEndpoint));
+                    }
+                }
+            }
+        }
+    }
+
+    fn refuse(&self, item: &WorkItem, reason: RefusalReason) -> SchedulerEffect {
+        let share = self.queue.len().min(100);
+        let wait = Duration::from_millis(10) * u32::try_from(share).unwrap_or(100);
+        SchedulerEffect::Refuse {
+            ticket: item.ticket,
+            reason,
+            retry_after: (LEAST_RETRY_AFTER + wait).min(MOST_RETRY_AFTER),
+        }
+    }
+
+    fn note_first_byte(&mut self, ticket: TicketNumber, now: Instant) {
+        let Some(id) = self.placed.get(&ticket) else {
+            return;
+        };
+        let Some(load) = self.endpoints.iter_mut().find(|load| load.entry.id == *id) else {
+            return;
+        };
+        let engine = is_engine(&self.services, &load.entry);
+        load.note_first_byte(ticket, engine, now);
+        self.load_changed = true;
+    }
+
+    fn end_run(
+        &mut self,
+        ticket: TicketNumber,
+        end: RunEnd,
+        events: u32,
+        streamed_for: Duration,
+        now: Instant,
+    ) {
+        self.load_changed = true;
+        let Some(id) = self.placed.remove(&ticket) else {
+            return;
+        };
+        let Some(load) = self.endpoints.iter_mut().find(|load| load.entry.id == id) else {
+            return;
+        };
+        load.pace.note_events(events, streamed_for);
+        load.end_run(ticket, end, &self.settings, now);
+        // What cannot be reached may have crashed; it is cold when it comes back.
+        if end == RunEnd::Unreachable {
+            let service = self.services.get(&load.entry.service);
+            load.mark_cold(service, now);
+        }
+    }
+
+    fn see_endpoint(&mut self, entry: Rc<EndpointEntry>, known: bool, now: Instant) {
+        let service = self.services.get(&entry.service).cloned();
+        let cold_for = entry.cold_for;
+        let found = self
+            .endpoints
+            .iter()
+            .position(|load| load.entry.id == entry.id);
+        let started = match found {
+            Some(index) => {
+                let load = &mut self.endpoints[index];
+                let reborn = load.entry.born_ms != entry.born_ms
+                    || load.entry.address != entry.address
+                    || load.entry.service != entry.service;
+                if reborn {
+                    load.restart(entry);
+                } else {
+                    load.entry = entry;
+                }
+                reborn
+            }
+            None => {
+                self.endpoints.push(EndpointLoad::new(entry));
+                !known
+            }
+        };
+        let index = found.unwrap_or(self.endpoints.len() - 1);
+        let load = &mut self.endpoints[index];
+        if started {
+            load.mark_cold(service.as_ref(), now);
+        }
+        if cold_for > Duration::ZERO {
+            load.gate.mark_cold(now + cold_for);
+        }
+        self.share_cold_rates();
+    }
+
+    /// Its endpoints may have been restarted or have lost their caches meanwhile.
+    fn return_zone(&mut self, zone: &ZoneName, now: Instant) {
+        self.zones_out.retain(|out| out != zone);
+        for load in &mut self.endpoints {
+            if load.entry.zone == *zone {
+                let service = self.services.get(&load.entry.service);
+                load.mark_cold(service, now);
+            }
+        }
+    }
+
+    fn note_peer(&mut self, peer: HostAddress, reports: &[EndpointReport], now: Instant) {
+        for load in &mut self.endpoints {
+            let report = reports.iter().find(|report| report.endpoint == load.hash);
+            load.set_peer(peer, report, now);
+        }
+    }
+
+    /// Deals the rate of each cold endpoint to the hosts that rank first for it.
+    fn share_cold_rates(&mut self) {
+        let Some(own) = self.own else { return };
+        for load in &mut self.endpoints {
+            let rate = self
+                .services
+                .get(&load.entry.service)
+                .map_or(0.0, |service| service.cold_rate_per_s);
+            // A host that knows no other may just not have found them yet.
+            let known = self.hosts.len();
+            let most = self.settings.cold_senders;
+            let senders = if known < 2 { most } else { most.min(known) };
+            let own_rank = host_rank(&load.entry.id, own);
+            let before = self
+                .hosts
+                .iter()
+                .filter(|host| host_rank(&load.entry.id, **host) < own_rank)
+                .count();
+            #[expect(clippy::cast_precision_loss, reason = "a handful of hosts")]
+            let share = rate / senders as f64;
+            load.cold_share_per_s = if before < senders { share } else { 0.0 };
+        }
+    }
+}
+
+fn is_engine(services: &FastMap<ServiceName, ServiceEntry>, entry: &EndpointEntry) -> bool {
+    services
+        .get(&entry.service)
+        .is_some_and(|service| service.model_engine)
+}
+
+/// Rendezvous rank of a host for an endpoint, the same on every host.
+fn host_rank(endpoint: &EndpointId, host: HostAddress) -> (u32, HostAddress) {
+    (name_hash(&format!("{endpoint}@{host}")), host)
+}
--- /dev/null
+++ b/gateway/src/scheduler/types.rs
@@ -0,0 +1,116 @@
+//! Events, effects and the work that they are about.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{EndpointEntry, ServiceEntry};
+use crate::ids::{
+    EndpointId, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, ZoneName,
+};
+
+/// A request that wants an endpoint.
+#[derive(Clone, Debug)]
+pub struct WorkItem {
+    pub ticket: TicketNumber,
+    pub service: ServiceName,
+    pub tier: TierNumber,
+    /// When the caller's request arrived at this host.
+    pub arrived: Instant,
+    /// Until when a first byte is on time.
+    pub on_time_until: Instant,
+    /// When the final answer is due.
+    pub deadline: Instant,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    /// Endpoints that had this request before.
+    pub excluded: Vec<EndpointId>,
+}
+
+/// How a run at an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The whole answer came.
+    Completed,
+    /// The endpoint answered with a failure of its own.
+    Failed,
+    /// The endpoint refused it unrun.
+    NotRun,
+    /// The endpoint is another one than expected.
+    Misdirected,
+    /// No connection; no byte was sent.
+    Unreachable,
+    /// The connection broke, or what came was no answer.
+    Broken,
+    /// It gave no sign for too long.
+    Stalled,
+    /// The caller left or its time was over.
+    Abandoned,
+}
+
+/// What one host has at one endpoint, as told to its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointReport {
+    pub endpoint: NameHash,
+    pub active: u16,
+    /// Prompt tokens of runs that have not shown a first byte.
+    pub unread_tokens: u32,
+}
+
+#[derive(Debug)]
+pub enum SchedulerEvent {
+    Submitted(WorkItem),
+    /// A waiting request needs no endpoint any more.
+    Withdrawn(TicketNumber),
+    FirstByte(TicketNumber),
+    /// `events`: events of a stream that came, and the time from the first to the last.
+    Ended {
+        ticket: TicketNumber,
+        end: RunEnd,
+        events: u32,
+        streamed_for: Duration,
+    },
+    ServicesChanged(Vec<ServiceEntry>),
+    /// `known`: registered before this host started.
+    EndpointSeen {
+        entry: Rc<EndpointEntry>,
+        known: bool,
+    },
+    EndpointGone(EndpointId),
+    ZoneTakenOut(ZoneName),
+    ZoneReturned(ZoneName),
+    PeerReported {
+        peer: HostAddress,
+        reports: Vec<EndpointReport>,
+    },
+    /// The hosts that are alive, this one among them.
+    HostsChanged {
+        own: HostAddress,
+        hosts: Vec<HostAddress>,
+    },
+    Tick,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// It waited as long as its tier may.
+    Waited,
+    /// The queue of this host is full.
+    QueueFull,
+    /// No endpoint of the service may be used.
+    NoEndpoint,
+}
+
+#[derive(Debug)]
+pub enum SchedulerEffect {
+    Dispatch {
+        ticket: TicketNumber,
+        endpoint: Rc<EndpointEntry>,
+    },
+    Refuse {
+        ticket: TicketNumber,
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
+}
