Fill the buckets of workspaces with several keys once, use tolerated overshoot

A workspace with two keys was configured twice, which emptied its bucket at each configuration; and a cap is owed up to what the deployment tolerates. Change: configure once; while nobody waits, admit out of a reserve that takes half of the tolerated units.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -239,9 +239,10 @@
     usage: Option<(u32, u32)>,
 ) -> Result<(), ForwardFault> {
     let state = &mut *edge.state.borrow_mut();
+    let idle = !state.scheduler.has_waiting();
     let verdict = state
         .caps
-        .admit(&workspace.name, total_tokens(usage), Instant::now());
+        .admit(&workspace.name, total_tokens(usage), idle, Instant::now());
     match verdict {
         UsageVerdict::Admitted => Ok(()),
         UsageVerdict::Refused { retry_after } => Err(ForwardFault {
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::ZoneName;
-use crate::limits::RetryBudgetSettings;
+use crate::limits::{CapTolerance, RetryBudgetSettings};
 
 #[derive(Clone, Debug)]
 pub struct EdgeSettings {
@@ -23,6 +23,7 @@
     /// Time between the request to stop and the kill.
     pub grace: Duration,
     pub retry_budget: RetryBudgetSettings,
+    pub cap_tolerance: CapTolerance,
     /// Connections that callers may hold open.
     pub max_callers: usize,
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -67,7 +67,7 @@
         let state = EdgeState {
             catalog: CatalogState::default(),
             scheduler: SchedulerState::new(SchedulerSettings::default(), incarnation),
-            caps: UsageCaps::new(),
+            caps: UsageCaps::new(settings.cap_tolerance),
             budget: RetryBudget::new(settings.retry_budget.clone()),
             members,
             removals: RemovalHold::default(),
--- a/gateway/src/limits/mod.rs
+++ b/gateway/src/limits/mod.rs
@@ -4,4 +4,4 @@
 mod usage_cap;
 
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
-pub use usage_cap::{UsageCaps, UsageReport, UsageVerdict};
+pub use usage_cap::{CapTolerance, UsageCaps, UsageReport, UsageVerdict};
--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -3,6 +3,9 @@
 //! Each host keeps one bucket per workspace. It takes from it what it admits itself and what its
 //! peers report. A silent peer may still be serving callers; its equal share of the rate is left
 //! to it, so that hosts that cannot reach each other do not spend the same allowance twice.
+//!
+//! A deployment states how far a cap may be exceeded. While nobody waits for an endpoint, part of
+//! that is given to callers: refusing them would protect no one.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,6 +20,21 @@
 /// Shortest such wait.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// How far caps may be exceeded, over all hosts.
+#[derive(Clone, Copy, Debug)]
+pub struct CapTolerance {
+    /// Span in which usage is counted.
+    pub window: Duration,
+    /// Units in one window beyond the cap.
+    pub units: f64,
+}
+
+/// Part of the tolerated units that is given out evenly over a window. Together with the reserve
+/// it leaves half for what hosts admit before they hear of each other.
+const SPREAD_PART: f64 = 0.35;
+/// Part of the tolerated units that may be given out at once.
+const RESERVE_PART: f64 = 0.15;
+
 /// What one host admitted for one workspace since its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageReport {
@@ -37,17 +55,32 @@
 struct CapBucket {
     cap: UsageCap,
     level: f64,
+    /// What may be admitted beyond the cap while endpoints are idle.
+    reserve: f64,
     filled: Instant,
     /// Admitted by this host since its start.
     admitted: u64,
 }
 
 impl CapBucket {
-    fn fill(&mut self, share: f64, now: Instant) {
-        let elapsed = now.duration_since(self.filled).as_secs_f64();
-        self.level = (self.level + elapsed * self.cap.rate_per_s * share).min(self.cap.burst);
+    fn fill(&mut self, tolerance: &CapTolerance, share: f64, now: Instant) {
+        let elapsed = now.duration_since(self.filled).as_secs_f64() * share;
+        self.level = (self.level + elapsed * self.cap.rate_per_s).min(self.cap.burst);
+        let spread = SPREAD_PART * tolerance.units / tolerance.window.as_secs_f64();
+        let most = RESERVE_PART * tolerance.units;
+        self.reserve = (self.reserve + elapsed * spread).min(most);
         self.filled = now;
     }
+
+    /// Takes units from the cap, and what it lacks from the reserve.
+    fn take(&mut self, units: f64) {
+        self.level -= units;
+        if self.level < 0.0 {
+            let lacking = (-self.level).min(self.reserve.max(0.0));
+            self.reserve -= lacking;
+            self.level += lacking;
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -57,8 +90,9 @@
 }
 
 /// The buckets of all capped workspaces.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UsageCaps {
+    tolerance: CapTolerance,
     buckets: FastMap<WorkspaceName, CapBucket>,
     names: FastMap<NameHash, WorkspaceName>,
     peers: FastMap<HostAddress, PeerUsage>,
@@ -69,10 +103,14 @@
 
 impl UsageCaps {
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(tolerance: CapTolerance) -> Self {
         Self {
+            tolerance,
+            buckets: FastMap::default(),
+            names: FastMap::default(),
+            peers: FastMap::default(),
             share: 1.0,
-            ..Self::default()
+            changed: false,
         }
     }
 
@@ -88,14 +126,19 @@
         for workspace in workspaces {
             let Some(cap) = workspace.cap else { continue };
             let name = workspace.name.clone();
+            // A workspace comes once for each of its keys.
+            if self.buckets.contains_key(&name) {
+                continue;
+            }
             self.names.insert(name_hash(&name), name.clone());
             let mut bucket = previous.remove(&name).unwrap_or(CapBucket {
                 cap,
                 level: 0.0,
+                reserve: 0.0,
                 filled: now,
                 admitted: 0,
             });
-            bucket.fill(self.share, now);
+            bucket.fill(&self.tolerance, self.share, now);
             bucket.cap = cap;
             bucket.level = bucket.level.min(cap.burst);
             self.buckets.insert(name, bucket);
@@ -107,32 +150,35 @@
         #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
         let share = 1.0 - silent as f64 / hosts.max(1) as f64;
         for bucket in self.buckets.values_mut() {
-            bucket.fill(self.share, now);
+            bucket.fill(&self.tolerance, self.share, now);
         }
         self.share = share;
     }
 
     /// Admits a request or refuses it. A bucket above zero admits a request of any size; the
-    /// debt is paid before the next one.
+    /// debt is paid before the next one. `idle`: nobody waits for an endpoint.
     pub fn admit(
         &mut self,
         workspace: &WorkspaceName,
         tokens: Option<u32>,
+        idle: bool,
         now: Instant,
     ) -> UsageVerdict {
-        let share = self.share;
+        let (tolerance, share) = (self.tolerance, self.share);
         let Some(bucket) = self.buckets.get_mut(workspace) else {
             return UsageVerdict::Admitted;
         };
-        bucket.fill(share, now);
+        bucket.fill(&tolerance, share, now);
         let cost = cost_of(&bucket.cap, tokens);
-        if bucket.level <= 0.0 {
+        let within = bucket.level > 0.0;
+        if !within && !(idle && bucket.reserve >= f64::from(cost)) {
             let rate = (bucket.cap.rate_per_s * share).max(1.0);
-            let wait = Duration::from_secs_f64((-bucket.level / rate).clamp(0.0, 3.0));
+            let lacking = f64::from(cost) - bucket.level;
+            let wait = Duration::from_secs_f64((lacking / rate).clamp(0.0, 60.0));
             let retry_after = wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER);
             return UsageVerdict::Refused { retry_after };
         }
-        bucket.level -= f64::from(cost);
+        bucket.take(f64::from(cost));
         bucket.admitted += u64::from(cost);
         self.changed = true;
         UsageVerdict::Admitted
@@ -155,7 +201,7 @@
         reports: &[UsageReport],
         now: Instant,
     ) {
-        let share = self.share;
+        let (tolerance, share) = (self.tolerance, self.share);
         let known = self.peers.get(&peer).is_some();
         let usage = self.peers.entry(peer).or_insert_with(|| PeerUsage {
             incarnation,
@@ -173,10 +219,10 @@
             let more = report.admitted.saturating_sub(before);
             let name = self.names.get(&report.workspace);
             if let Some(bucket) = name.and_then(|name| self.buckets.get_mut(name)) {
-                bucket.fill(share, now);
+                bucket.fill(&tolerance, share, now);
                 #[expect(clippy::cast_precision_loss, reason = "tokens of a short time")]
                 let more = more as f64;
-                bucket.level -= more;
+                bucket.take(more);
             }
         }
     }
