Do not count a cut peer's usage twice after its return

Cause: a silent peer's share is withheld, and what it used was then taken once more from the buckets at its return. Change: the first report after a silence sets the mark only; refusals over the cap log workspace, tokens and level.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -187,7 +187,7 @@
     let usage = headers::text(&parts.headers, &names.token_usage)
         .and_then(|text| (edge.dialect.parse_usage)(text));
     if let Some(workspace) = &workspace {
-        take_usage(edge, workspace, usage)?;
+        take_usage(edge, id, workspace, usage)?;
     }
     let service = route
         .pick_target(edge.draw())
@@ -235,6 +235,7 @@
 
 fn take_usage(
     edge: &Rc<Edge>,
+    id: &str,
     workspace: &WorkspaceEntry,
     usage: Option<(u32, u32)>,
 ) -> Result<(), ForwardFault> {
@@ -245,10 +246,17 @@
         .admit(&workspace.name, total_tokens(usage), idle, Instant::now());
     match verdict {
         UsageVerdict::Admitted => Ok(()),
-        UsageVerdict::Refused { retry_after } => Err(ForwardFault {
-            fault: EdgeFault::OverCap,
-            retry_after: Some(retry_after),
-        }),
+        UsageVerdict::Refused { retry_after, level } => {
+            log::info!(
+                id = id, workspace = workspace.name.as_str(), tokens = total_tokens(usage).unwrap_or(0),
+                level = level, idle = idle;
+                "usage: over the cap"
+            );
+            Err(ForwardFault {
+                fault: EdgeFault::OverCap,
+                retry_after: Some(retry_after),
+            })
+        }
     }
 }
 
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -253,7 +253,8 @@
             let news = state.members.note_beat(&beat, now);
             if news != BeatNews::Stale {
                 let caps = &mut state.caps;
-                caps.note_peer(beat.host, beat.incarnation, &beat.usage, now);
+                let was_silent = news == BeatNews::Appeared;
+                caps.note_peer(beat.host, beat.incarnation, &beat.usage, was_silent, now);
             }
             news
         };
--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -45,10 +45,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UsageVerdict {
     Admitted,
-    /// Over the cap.
-    Refused {
-        retry_after: Duration,
-    },
+    /// Over the cap; `level` units are left, a debt if negative.
+    Refused { retry_after: Duration, level: i64 },
 }
 
 #[derive(Debug)]
@@ -176,7 +174,9 @@
             let lacking = f64::from(cost) - bucket.level;
             let wait = Duration::from_secs_f64((lacking / rate).clamp(0.0, 60.0));
             let retry_after = wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER);
-            return UsageVerdict::Refused { retry_after };
+            #[expect(clippy::cast_possible_truncation, reason = "for the log")]
+            let level = bucket.level as i64;
+            return UsageVerdict::Refused { retry_after, level };
         }
         bucket.take(f64::from(cost));
         bucket.admitted += u64::from(cost);
@@ -193,12 +193,14 @@
     }
 
     /// Takes what a peer admitted since its last report. The first report of an incarnation that
-    /// was running before this host heard of it only sets the mark.
+    /// was running before this host heard of it only sets the mark, and so does the first one
+    /// after a silence: what a silent peer admits comes out of the share that was left to it.
     pub fn note_peer(
         &mut self,
         peer: HostAddress,
         incarnation: Incarnation,
         reports: &[UsageReport],
+        was_silent: bool,
         now: Instant,
     ) {
         let (tolerance, share) = (self.tolerance, self.share);
@@ -215,7 +217,11 @@
         for report in reports {
             let before = usage.admitted.insert(report.workspace, report.admitted);
             // A known peer that reports a workspace for the first time has just begun with it.
-            let before = before.unwrap_or(if known { 0 } else { report.admitted });
+            let unknown = if known && !was_silent { 0 } else { report.admitted };
+            let before = match before {
+                Some(before) if !was_silent || restarted => before,
+                _ => unknown,
+            };
             let more = report.admitted.saturating_sub(before);
             let name = self.names.get(&report.workspace);
             if let Some(bucket) = name.and_then(|name| self.buckets.get_mut(name)) {
