Try: order the queue by tier, answer size and lateness with bounded steps

Change: virtual arrival with steps for route tier, answer size, lateness. A late request that has waited overtakes fresh ones, so in a long overload all are late.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -10,6 +10,17 @@
     /// Longest wait in the queue by tier; the last value serves all lower tiers. A request that
     /// has waited so long is refused unrun while its caller still has time to come back.
     pub queue_wait: Vec<Duration>,
+    /// Time by which each tier of routes steps back behind the one above it.
+    pub tier_step: Duration,
+    /// Time by which a request steps back for each 1,000 tokens of its longest answer: short
+    /// answers free their place sooner.
+    pub answer_step: Duration,
+    /// Time by which a request steps back once it cannot be on time.
+    pub late_step: Duration,
+    /// Time from dispatch to first byte that is expected apart from reading the prompt.
+    pub first_byte_margin: Duration,
+    /// Time in which an endpoint reads 1,000 tokens of a prompt, about.
+    pub read_step: Duration,
     /// Requests that wait at one host; bounds memory at about 64 KB a waiting prompt.
     pub queue_length: usize,
     /// First pause after an endpoint could not be reached; doubles up to the longest.
@@ -41,6 +52,11 @@
                 Duration::from_millis(2_500),
                 Duration::from_millis(900),
             ],
+            tier_step: Duration::from_millis(300),
+            answer_step: Duration::from_millis(150),
+            late_step: Duration::from_millis(1_500),
+            first_byte_margin: Duration::from_millis(80),
+            read_step: Duration::from_millis(25),
             queue_length: 2_000,
             first_backoff: Duration::from_millis(200),
             longest_backoff: Duration::from_millis(1_600),
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -62,6 +62,10 @@
     /// Endpoints that may have run it.
     pub runs: u32,
     pub dispatches: u32,
+    /// Time spent in the queue of this host.
+    pub waited: Duration,
+    /// From arrival to the first byte of the answer.
+    pub first_byte: Option<Duration>,
     _in_flight: InFlightGuard,
 }
 
@@ -214,6 +218,8 @@
         tried: Vec::new(),
         runs: 0,
         dispatches: 0,
+        waited: Duration::ZERO,
+        first_byte: None,
         _in_flight: in_flight,
     })
 }
@@ -322,7 +328,8 @@
     log::info!(
         id = job.id.as_str(), route = job.route.name.as_str(), status = status.as_u16(), outcome = outcome,
         endpoints = job.tried.join(",").as_str(), runs = job.runs, dispatches = job.dispatches,
-        took_ms = took.as_millis(), config_version = job.edge.catalog_version();
+        tier = job_tier(job), route_tier = job.route.tier, prompt = job.usage.unwrap_or_default().0, waited_ms = job.waited.as_millis(),
+        first_byte_ms = job.first_byte.unwrap_or_default().as_millis(), took_ms = took.as_millis(), config_version = job.edge.catalog_version();
         "request: ended"
     );
 }
@@ -356,6 +363,7 @@
         ticket: 0,
         service: job.service.clone(),
         tier: job_tier(job),
+        route_tier: job.route.tier,
         arrived: job.arrived,
         on_time_until: job.arrived + job.route.latency_target,
         deadline: job.deadline,
@@ -363,7 +371,10 @@
         output_tokens,
         excluded: job.tried.clone(),
     };
-    place(&job.edge, item).await.map_err(|(reason, wait)| {
+    let since = Instant::now();
+    let placed = place(&job.edge, item).await;
+    job.waited += since.elapsed();
+    placed.map_err(|(reason, wait)| {
         if job.runs > 0 {
             return EdgeFault::EndpointBroken.into();
         }
@@ -589,6 +600,7 @@
     let mut answer = answer;
     loop {
         answer.run.note_first_byte();
+        job.first_byte = Some(job.arrived.elapsed());
         let (parts, body) = answer.response.into_parts();
         let failed = parts.status.is_server_error();
         let Ok(collected) = Limited::new(body, MOST_ANSWER_BYTES).collect().await else {
--- a/gateway/src/edge/relay.rs
+++ b/gateway/src/edge/relay.rs
@@ -94,7 +94,7 @@
         let Some(source) = state.source.as_mut() else {
             return Ok(None);
         };
-        let step = read_step(&state.job, source, &mut state.splitter, &mut state.last_id).await;
+        let step = read_step(&mut state.job, source, &mut state.splitter, &mut state.last_id).await;
         match step {
             RelayStep::Events(bytes) => return Ok(Some((bytes, state))),
             RelayStep::Done => finish(&mut state),
@@ -109,7 +109,7 @@
 }
 
 async fn read_step(
-    job: &ForwardJob,
+    job: &mut ForwardJob,
     source: &mut RelaySource,
     splitter: &mut EventSplitter,
     last_id: &mut Option<u64>,
@@ -131,6 +131,7 @@
         };
         if let Some(events) = splitter.push(chunk) {
             source.run.note_events(events.count);
+            job.first_byte.get_or_insert_with(|| job.arrived.elapsed());
             *last_id = events.last_id.or(*last_id);
             return RelayStep::Events(events.bytes);
         }
--- a/gateway/src/scheduler/queue.rs
+++ b/gateway/src/scheduler/queue.rs
@@ -6,6 +6,9 @@
 use crate::configs::SchedulerSettings;
 use crate::ids::{ServiceName, TicketNumber};
 
+/// Tiers below this one step back no further.
+const MOST_TIER_STEPS: u32 = 8;
+
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
     items: Vec<WorkItem>,
@@ -39,19 +42,17 @@
     }
 
     /// Tickets of one service in the order in which they should be sent.
-    ///
-    /// A request that has missed its target counts as one tier lower: a late answer is worth
-    /// less to its caller than one that can still be on time.
-    pub fn ordered(&self, service: &ServiceName, now: Instant) -> Vec<TicketNumber> {
+    pub fn ordered(
+        &self,
+        service: &ServiceName,
+        settings: &SchedulerSettings,
+        now: Instant,
+    ) -> Vec<TicketNumber> {
         let mut waiting: Vec<_> = self
             .items
             .iter()
             .filter(|item| item.service == *service)
-            .map(|item| {
-                let late = now >= item.on_time_until;
-                let rank = u16::from(item.tier) + u16::from(late);
-                (rank, late, item.arrived, item.ticket)
-            })
+            .map(|item| (item.tier, virtual_arrival(item, settings, now), item.ticket))
             .collect();
         waiting.sort_unstable();
         waiting.into_iter().map(|(.., ticket)| ticket).collect()
@@ -69,12 +70,26 @@
     }
 }
 
+/// Arrival of a request, put off by what speaks against sending it first.
+///
+/// Lower tiers of routes and large answers step back by a bounded time, so that they are served
+/// later but not starved. A request that can no longer be on time steps back further: a late
+/// answer is worth less to its caller than one that can still be on time.
+fn virtual_arrival(item: &WorkItem, settings: &SchedulerSettings, now: Instant) -> Instant {
+    let tier = settings.tier_step * u32::from(item.route_tier).min(MOST_TIER_STEPS);
+    let size = settings.answer_step.mul_f64(f64::from(item.output_tokens) / 1_000.0);
+    let reading = settings.read_step.mul_f64(f64::from(item.prompt_tokens) / 1_000.0);
+    let late = now + settings.first_byte_margin + reading >= item.on_time_until;
+    let lateness = if late { settings.late_step } else { Duration::ZERO };
+    item.arrived + tier + size + lateness
+}
+
 /// When a request has waited as long as it may: its tier's bound, and never past half of its time.
 fn wait_end(item: &WorkItem, settings: &SchedulerSettings) -> Instant {
     let last = settings.queue_wait.len().saturating_sub(1);
     let bound = settings
         .queue_wait
-        .get(usize::from(item.tier).min(last))
+        .get(usize::from(item.route_tier).min(last))
         .copied()
         .unwrap_or(Duration::ZERO);
     let half = item.deadline.saturating_duration_since(item.arrived) / 2;
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -158,7 +158,7 @@
         now: Instant,
         effects: &mut Vec<SchedulerEffect>,
     ) {
-        for ticket in self.queue.ordered(service, now) {
+        for ticket in self.queue.ordered(service, &self.settings, now) {
             let Some(item) = self.queue.get(ticket) else {
                 continue;
             };
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -15,7 +15,11 @@
 pub struct WorkItem {
     pub ticket: TicketNumber,
     pub service: ServiceName,
+    /// Tier of the workspace, or of the route where the workspace has none. A higher tier always
+    /// goes first.
     pub tier: TierNumber,
+    /// Tier of the route; orders requests of one `tier`.
+    pub route_tier: TierNumber,
     /// When the caller's request arrived at this host.
     pub arrived: Instant,
     /// Until when a first byte is on time.
