Send requests that can be on time first

Change: within a tier, requests that can be on time go before those that cannot; lower routes step back 300 ms a tier.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -12,11 +12,6 @@
     pub queue_wait: Vec<Duration>,
     /// Time by which each tier of routes steps back behind the one above it.
     pub tier_step: Duration,
-    /// Time by which a request steps back for each 1,000 tokens of its longest answer: short
-    /// answers free their place sooner.
-    pub answer_step: Duration,
-    /// Time by which a request steps back once it cannot be on time.
-    pub late_step: Duration,
     /// Time from dispatch to first byte that is expected apart from reading the prompt.
     pub first_byte_margin: Duration,
     /// Time in which an endpoint reads 1,000 tokens of a prompt, about.
@@ -50,11 +45,9 @@
             queue_wait: vec![
                 Duration::from_millis(4_000),
                 Duration::from_millis(2_500),
-                Duration::from_millis(900),
+                Duration::from_millis(1_500),
             ],
             tier_step: Duration::from_millis(300),
-            answer_step: Duration::from_millis(150),
-            late_step: Duration::from_millis(1_500),
             first_byte_margin: Duration::from_millis(80),
             read_step: Duration::from_millis(25),
             queue_length: 2_000,
--- a/gateway/src/scheduler/queue.rs
+++ b/gateway/src/scheduler/queue.rs
@@ -52,7 +52,11 @@
             .items
             .iter()
             .filter(|item| item.service == *service)
-            .map(|item| (item.tier, virtual_arrival(item, settings, now), item.ticket))
+            .map(|item| {
+                let late = cannot_be_on_time(item, settings, now);
+                let arrival = virtual_arrival(item, settings);
+                (item.tier, late, arrival, item.ticket)
+            })
             .collect();
         waiting.sort_unstable();
         waiting.into_iter().map(|(.., ticket)| ticket).collect()
@@ -70,18 +74,17 @@
     }
 }
 
-/// Arrival of a request, put off by what speaks against sending it first.
-///
-/// Lower tiers of routes and large answers step back by a bounded time, so that they are served
-/// later but not starved. A request that can no longer be on time steps back further: a late
-/// answer is worth less to its caller than one that can still be on time.
-fn virtual_arrival(item: &WorkItem, settings: &SchedulerSettings, now: Instant) -> Instant {
-    let tier = settings.tier_step * u32::from(item.route_tier).min(MOST_TIER_STEPS);
-    let size = settings.answer_step.mul_f64(f64::from(item.output_tokens) / 1_000.0);
+/// A late answer is worth less to its caller than one that can still be on time, so requests that
+/// have missed their target are sent when nothing else waits.
+fn cannot_be_on_time(item: &WorkItem, settings: &SchedulerSettings, now: Instant) -> bool {
     let reading = settings.read_step.mul_f64(f64::from(item.prompt_tokens) / 1_000.0);
-    let late = now + settings.first_byte_margin + reading >= item.on_time_until;
-    let lateness = if late { settings.late_step } else { Duration::ZERO };
-    item.arrived + tier + size + lateness
+    now + settings.first_byte_margin + reading >= item.on_time_until
+}
+
+/// Arrival of a request; those of lower routes step back by a bounded time, so that they are
+/// served later but not starved.
+fn virtual_arrival(item: &WorkItem, settings: &SchedulerSettings) -> Instant {
+    item.arrived + settings.tier_step * u32::from(item.route_tier).min(MOST_TIER_STEPS)
 }
 
 /// When a request has waited as long as it may: its tier's bound, and never past half of its time.
