Set the step between tiers of routes to 150 ms

Cause: 300 ms a tier is over the target of the third tier (400 ms). Change: 100 ms tried, 150 ms taken between the two. Conclusion: kept for the lower tier's sake.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -47,7 +47,7 @@
                 Duration::from_millis(2_500),
                 Duration::from_millis(1_500),
             ],
-            tier_step: Duration::from_millis(300),
+            tier_step: Duration::from_millis(150),
             first_byte_margin: Duration::from_millis(80),
             read_step: Duration::from_millis(25),
             queue_length: 2_000,
