--- a/gateway/src/edge/dialect.rs
+++ b/gateway/src/edge/dialect.rs
@@ -40,3 +40,11 @@
     /// Reads prompt tokens and most output tokens from the usage header.
     pub parse_usage: fn(&str) -> Option<(u32, u32)>,
 }
+
+/// Keeps what was published as it came, so that a host that starts while the store is away can
+/// take it from a peer.
+pub trait CatalogArchive {
+    /// Encodes everything kept under `topic`; `None` for an unknown topic or before the first
+    /// listing of the store.
+    fn encode(&self, topic: &str) -> Option<Bytes>;
+}
--- a/gateway/src/edge/directory.rs
+++ b/gateway/src/edge/directory.rs
@@ -16,6 +16,8 @@
 /// name dead hosts for long, and half of it would double the questions.
 const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 const METRICS_PATH: &str = "/metrics";
+/// Path before the name of a topic on the control address.
+pub const CATALOG_PATH: &str = "/v1/catalog/";
 
 pub(crate) fn directory_reply(edge: &Rc<Edge>, request: &Request<Incoming>) -> Response<EdgeBody> {
     if request.uri().path() != edge.dialect.directory_path {
@@ -40,7 +42,12 @@
 }
 
 pub(crate) fn control_reply(edge: &Rc<Edge>, request: &Request<Incoming>) -> Response<EdgeBody> {
-    match request.uri().path() {
+    let path = request.uri().path();
+    if let Some(topic) = path.strip_prefix(CATALOG_PATH) {
+        let kept = edge.archive.encode(topic);
+        return kept.map_or_else(|| status_reply(StatusCode::NOT_FOUND), json_body);
+    }
+    match path {
         METRICS_PATH => {
             let text = edge.metrics.borrow().render();
             Response::new(EdgeBody::Whole(Some(Bytes::from(text))))
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -18,8 +18,9 @@
 mod settings;
 mod state;
 
-pub use dialect::{HeaderNames, WireDialect};
-pub use event_splitter::EventSplitter;
+pub use dialect::{CatalogArchive, HeaderNames, WireDialect};
+pub use directory::CATALOG_PATH;
+pub use event_splitter::{EventSplitter, WholeEvents};
 pub use run::run_edge;
 pub use settings::EdgeSettings;
 pub use state::Edge;
--- a/gateway/src/edge/relay.rs
+++ b/gateway/src/edge/relay.rs
@@ -94,7 +94,13 @@
         let Some(source) = state.source.as_mut() else {
             return Ok(None);
         };
-        let step = read_step(&mut state.job, source, &mut state.splitter, &mut state.last_id).await;
+        let step = read_step(
+            &mut state.job,
+            source,
+            &mut state.splitter,
+            &mut state.last_id,
+        )
+        .await;
         match step {
             RelayStep::Events(bytes) => return Ok(Some((bytes, state))),
             RelayStep::Done => finish(&mut state),
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -57,7 +57,7 @@
             directory_reply,
         );
     }
-    if let Some(address) = settings.control {
+    for address in settings.control.into_iter().chain(settings.metrics) {
         spawn_replies(
             &edge,
             TcpListener::bind(address).await?,
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -16,6 +16,8 @@
     pub readiness: SocketAddr,
     pub directory: Option<SocketAddr>,
     pub control: Option<SocketAddr>,
+    /// Where metrics are served as text, besides the control address.
+    pub metrics: Option<SocketAddr>,
     /// Port for datagrams between hosts, on every host.
     pub peer_port: u16,
     /// Hosts that may be asked for others at the start.
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::connection_pool::ConnectionPool;
-use super::dialect::WireDialect;
+use super::dialect::{CatalogArchive, WireDialect};
 use super::metrics::EdgeMetrics;
 use super::placement::Placement;
 use super::settings::EdgeSettings;
@@ -45,6 +45,7 @@
 pub struct Edge {
     pub(crate) settings: EdgeSettings,
     pub(crate) dialect: WireDialect,
+    pub(crate) archive: Rc<dyn CatalogArchive>,
     pub(crate) state: RefCell<EdgeState>,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: RefCell<EdgeMetrics>,
@@ -56,7 +57,11 @@
 
 impl Edge {
     #[must_use]
-    pub fn new(settings: EdgeSettings, dialect: WireDialect) -> Rc<Self> {
+    pub fn new(
+        settings: EdgeSettings,
+        dialect: WireDialect,
+        archive: Rc<dyn CatalogArchive>,
+    ) -> Rc<Self> {
         let mut random = SmallRng::from_os_rng();
         let incarnation = random.random();
         let now = Instant::now();
@@ -82,6 +87,7 @@
         Rc::new(Self {
             settings,
             dialect,
+            archive,
             state: RefCell::new(state),
             pool: ConnectionPool::default(),
             metrics: RefCell::default(),
@@ -118,10 +124,18 @@
             CatalogChange::RolloutOrdered {
                 service, target, ..
             } => {
-                log::warn!(service = service.as_str(), target = target.as_str(); "rollout: ordered, not supported yet");
+                log::warn!(
+                    service = service.as_str(), target = target.as_str();
+                    "rollout: the new version gets nothing; moving traffic is not supported yet"
+                );
+                self.schedule(SchedulerEvent::VersionHeld {
+                    service,
+                    version: target,
+                });
             }
             CatalogChange::RolloutWithdrawn(service) => {
                 log::info!(service = service.as_str(); "rollout: withdrawn");
+                self.schedule(SchedulerEvent::VersionReleased(service));
             }
         }
     }
@@ -175,6 +189,33 @@
             .introduce(host, Instant::now());
     }
 
+    /// Takes over what may change while the process runs: seeds and limits. Addresses and the zone
+    /// change with a restart only.
+    pub fn adopt_settings(&self, settings: &EdgeSettings) {
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        for seed in &settings.seeds {
+            state.members.introduce(*seed, now);
+        }
+        state.budget.adopt(settings.retry_budget.clone());
+        state.caps.adopt(settings.cap_tolerance);
+        log::info!(seeds = settings.seeds.len(); "settings: taken over");
+    }
+
+    /// Control addresses of hosts that can be heard.
+    #[must_use]
+    pub fn control_peers(&self) -> Vec<SocketAddr> {
+        let Some(own) = self.settings.control else {
+            return Vec::new();
+        };
+        let state = self.state.borrow();
+        let peers = state.members.audible(usize::MAX, Instant::now());
+        peers
+            .into_iter()
+            .map(|host| (host, own.port()).into())
+            .collect()
+    }
+
     /// Whether this host may be named to callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/gateway/src/limits/retry_budget.rs
+++ b/gateway/src/limits/retry_budget.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Takes over changed settings.
+    pub fn adopt(&mut self, settings: RetryBudgetSettings) {
+        self.settings = settings;
+    }
+
     /// Sets the number of hosts that share the slack.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = hosts.max(1);
--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -46,7 +46,10 @@
 pub enum UsageVerdict {
     Admitted,
     /// Over the cap; `level` units are left, a debt if negative.
-    Refused { retry_after: Duration, level: i64 },
+    Refused {
+        retry_after: Duration,
+        level: i64,
+    },
 }
 
 #[derive(Debug)]
@@ -143,6 +146,11 @@
         }
     }
 
+    /// Takes over a changed tolerance.
+    pub fn adopt(&mut self, tolerance: CapTolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// Sets which part of each rate this host and the peers that it hears may use.
     pub fn set_share(&mut self, hosts: usize, silent: usize, now: Instant) {
         #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
@@ -217,7 +225,11 @@
         for report in reports {
             let before = usage.admitted.insert(report.workspace, report.admitted);
             // A known peer that reports a workspace for the first time has just begun with it.
-            let unknown = if known && !was_silent { 0 } else { report.admitted };
+            let unknown = if known && !was_silent {
+                0
+            } else {
+                report.admitted
+            };
             let before = match before {
                 Some(before) if !was_silent || restarted => before,
                 _ => unknown,
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -7,6 +7,7 @@
 use super::types::WorkItem;
 use crate::catalog::ServiceEntry;
 use crate::configs::SchedulerSettings;
+use crate::ids::{VersionName, ZoneName};
 
 /// Tokens in one event of a stream, about; an event holds several.
 const TOKENS_PER_EVENT: f64 = 7.0;
@@ -23,12 +24,18 @@
     Unavailable,
 }
 
+/// What operators have closed to new work.
+pub(crate) struct ChoiceBounds<'a> {
+    pub zones_out: &'a [ZoneName],
+    pub held_version: Option<&'a VersionName>,
+}
+
 /// Picks the endpoint with the lowest expected cost.
 pub(crate) fn choose_endpoint(
     endpoints: &mut [EndpointLoad],
     item: &WorkItem,
     service: Option<&ServiceEntry>,
-    zones_out: &[crate::ids::ZoneName],
+    bounds: &ChoiceBounds<'_>,
     settings: &SchedulerSettings,
     mut draw: impl FnMut() -> f64,
     now: Instant,
@@ -40,7 +47,8 @@
         let entry = &load.entry;
         if entry.service != item.service
             || entry.draining
-            || zones_out.contains(&entry.zone)
+            || bounds.zones_out.contains(&entry.zone)
+            || bounds.held_version == Some(&entry.version)
             || item.excluded.contains(&entry.id)
             || load.health.is_blocked(now)
         {
--- a/gateway/src/scheduler/queue.rs
+++ b/gateway/src/scheduler/queue.rs
@@ -77,7 +77,9 @@
 /// A late answer is worth less to its caller than one that can still be on time, so requests that
 /// have missed their target are sent when nothing else waits.
 fn cannot_be_on_time(item: &WorkItem, settings: &SchedulerSettings, now: Instant) -> bool {
-    let reading = settings.read_step.mul_f64(f64::from(item.prompt_tokens) / 1_000.0);
+    let reading = settings
+        .read_step
+        .mul_f64(f64::from(item.prompt_tokens) / 1_000.0);
     now + settings.first_byte_margin + reading >= item.on_time_until
 }
 
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::choice::{EndpointChoice, choose_endpoint};
+use super::choice::{ChoiceBounds, EndpointChoice, choose_endpoint};
 use super::endpoint_load::EndpointLoad;
 use super::queue::WaitQueue;
 use super::types::{
@@ -15,7 +15,7 @@
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{
-    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, ZoneName, name_hash,
+    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, VersionName, ZoneName, name_hash,
 };
 
 /// Shortest wait that a refused caller is told: the time in which a few places come free.
@@ -29,6 +29,8 @@
     services: FastMap<ServiceName, ServiceEntry>,
     endpoints: Vec<EndpointLoad>,
     zones_out: Vec<ZoneName>,
+    /// Versions under rollout; they get nothing yet.
+    held_versions: FastMap<ServiceName, VersionName>,
     queue: WaitQueue,
     /// Where the runs of this host are.
     placed: FastMap<TicketNumber, EndpointId>,
@@ -47,6 +49,7 @@
             services: FastMap::default(),
             endpoints: Vec::new(),
             zones_out: Vec::new(),
+            held_versions: FastMap::default(),
             queue: WaitQueue::default(),
             placed: FastMap::default(),
             own: None,
@@ -82,6 +85,12 @@
             }
             SchedulerEvent::EndpointSeen { entry, known } => self.see_endpoint(entry, known, now),
             SchedulerEvent::EndpointGone(id) => self.endpoints.retain(|load| load.entry.id != id),
+            SchedulerEvent::VersionHeld { service, version } => {
+                self.held_versions.insert(service, version);
+            }
+            SchedulerEvent::VersionReleased(service) => {
+                self.held_versions.remove(&service);
+            }
             SchedulerEvent::ZoneTakenOut(zone) => {
                 if !self.zones_out.contains(&zone) {
                     self.zones_out.push(zone);
@@ -167,7 +176,10 @@
                 &mut self.endpoints,
                 item,
                 self.services.get(service),
-                &self.zones_out,
+                &ChoiceBounds {
+                    zones_out: &self.zones_out,
+                    held_version: self.held_versions.get(service),
+                },
                 &self.settings,
                 || random.random::<f64>(),
                 now,
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -7,7 +7,7 @@
 
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::ids::{
-    EndpointId, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, ZoneName,
+    EndpointId, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, VersionName, ZoneName,
 };
 
 /// A request that wants an endpoint.
@@ -82,6 +82,12 @@
         known: bool,
     },
     EndpointGone(EndpointId),
+    /// Endpoints of this version get nothing until the rollout is withdrawn.
+    VersionHeld {
+        service: ServiceName,
+        version: VersionName,
+    },
+    VersionReleased(ServiceName),
     ZoneTakenOut(ZoneName),
     ZoneReturned(ZoneName),
     PeerReported {
