Place by the caller's estimate of the answer's length

Change: the length hint, or a tenth of the limit, is the expected answer; its decoding time weighs 0.25 in the choice.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -57,7 +57,7 @@
             failure_half_life: Duration::from_secs(2),
             peer_expiry: Duration::from_secs(1),
             interference_weight: 0.1,
-            decode_weight: 0.05,
+            decode_weight: 0.25,
             score_noise: 0.1,
         }
     }
--- a/gateway/src/edge/dialect.rs
+++ b/gateway/src/edge/dialect.rs
@@ -15,6 +15,8 @@
     pub deadline_ms: HeaderName,
     /// Size of a generation: prompt tokens and most output tokens.
     pub token_usage: HeaderName,
+    /// The caller's estimate of the output tokens; right at the median, often far off.
+    pub length_hint: HeaderName,
     /// The endpoint's signature; an answer without it is not the endpoint's.
     pub signature: HeaderName,
     /// The endpoint states that it did not run the request.
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -55,6 +55,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub usage: Option<(u32, u32)>,
+    /// Output tokens that are expected; at most those of `usage`.
+    pub expected_output: u32,
     pub arrived: Instant,
     pub deadline: Instant,
     /// Endpoints that were sent the request.
@@ -190,6 +192,8 @@
     }
     let usage = headers::text(&parts.headers, &names.token_usage)
         .and_then(|text| (edge.dialect.parse_usage)(text));
+    let hint = headers::text(&parts.headers, &names.length_hint).and_then(|text| text.parse().ok());
+    let expected_output = expected_output(usage, hint);
     if let Some(workspace) = &workspace {
         take_usage(edge, id, workspace, usage)?;
     }
@@ -213,6 +217,7 @@
         uri: parts.uri,
         body,
         usage,
+        expected_output,
         arrived,
         deadline: arrived + patience,
         tried: Vec::new(),
@@ -266,6 +271,15 @@
     }
 }
 
+/// Part of the longest answer that is expected of callers who give no estimate: answers are a
+/// tenth of the announced limit on average.
+const TYPICAL_ANSWER_PART: u32 = 10;
+
+fn expected_output(usage: Option<(u32, u32)>, hint: Option<u32>) -> u32 {
+    let most = usage.map_or(0, |(_, output)| output);
+    hint.unwrap_or(most / TYPICAL_ANSWER_PART).min(most)
+}
+
 fn total_tokens(usage: Option<(u32, u32)>) -> Option<u32> {
     usage.map(|(prompt, output)| prompt.saturating_add(output))
 }
@@ -328,7 +342,7 @@
     log::info!(
         id = job.id.as_str(), route = job.route.name.as_str(), status = status.as_u16(), outcome = outcome,
         endpoints = job.tried.join(",").as_str(), runs = job.runs, dispatches = job.dispatches,
-        tier = job_tier(job), route_tier = job.route.tier, prompt = job.usage.unwrap_or_default().0, waited_ms = job.waited.as_millis(),
+        tier = job_tier(job), route_tier = job.route.tier, prompt = job.usage.unwrap_or_default().0, expected = job.expected_output, waited_ms = job.waited.as_millis(),
         first_byte_ms = job.first_byte.unwrap_or_default().as_millis(), took_ms = took.as_millis(), config_version = job.edge.catalog_version();
         "request: ended"
     );
@@ -358,7 +372,7 @@
 
 /// Asks the scheduler for an endpoint that has not had this request.
 pub(crate) async fn place_job(job: &mut ForwardJob) -> Result<PlacedRun, ForwardFault> {
-    let (prompt_tokens, output_tokens) = job.usage.unwrap_or_default();
+    let (prompt_tokens, _) = job.usage.unwrap_or_default();
     let item = WorkItem {
         ticket: 0,
         service: job.service.clone(),
@@ -368,7 +382,7 @@
         on_time_until: job.arrived + job.route.latency_target,
         deadline: job.deadline,
         prompt_tokens,
-        output_tokens,
+        output_tokens: job.expected_output,
         excluded: job.tried.clone(),
     };
     let since = Instant::now();
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -27,6 +27,7 @@
     /// When the final answer is due.
     pub deadline: Instant,
     pub prompt_tokens: u32,
+    /// Tokens of the answer that are expected.
     pub output_tokens: u32,
     /// Endpoints that had this request before.
     pub excluded: Vec<EndpointId>,
