Let two hosts wait at the store and the others follow them

Change: the two first hosts that are heard wait at the store; beats tell how far each has read; the others read when a peer has found news, or when no peer has had an answer for 1.1 s.

--- a/gateway/src/edge/peers.rs
+++ b/gateway/src/edge/peers.rs
@@ -28,7 +28,8 @@
             let state = &mut *edge.state.borrow_mut();
             let load = state.scheduler.take_changed_report().is_some();
             let usage = state.caps.take_changed();
-            load || usage
+            let marks = std::mem::take(&mut state.marks_moved);
+            load || usage || marks
         };
         if due || changed {
             send_to_all(&edge, &socket).await;
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -18,9 +18,14 @@
 use crate::configs::SchedulerSettings;
 use crate::ids::{EndpointId, FastMap, HostAddress, Incarnation, TicketNumber};
 use crate::limits::{RetryBudget, UsageCaps};
-use crate::membership::{BeatNews, MemberTable, MemberView, PeerBeat};
+use crate::membership::{
+    BeatNews, FeedDuty, FeedMarks, FeedTopic, MemberTable, MemberView, PeerBeat,
+};
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
 
+/// Hosts that wait at the store for news; the others ask when these have found some. Two, so that
+/// the loss of one delays nothing.
+const STORE_READERS: usize = 2;
 /// Hosts that one beat names, so that a host finds all others from any one.
 const HEARD_PER_BEAT: usize = 8;
 
@@ -30,6 +35,9 @@
     pub caps: UsageCaps,
     pub budget: RetryBudget,
     pub members: MemberTable,
+    pub marks: FeedMarks,
+    /// A mark moved since the last beat.
+    pub marks_moved: bool,
     removals: RemovalHold,
     waiting: FastMap<TicketNumber, oneshot::Sender<Placement>>,
     last_ticket: TicketNumber,
@@ -75,6 +83,8 @@
             caps: UsageCaps::new(settings.cap_tolerance),
             budget: RetryBudget::new(settings.retry_budget.clone()),
             members,
+            marks: FeedMarks::default(),
+            marks_moved: false,
             removals: RemovalHold::default(),
             waiting: FastMap::default(),
             last_ticket: 0,
@@ -171,6 +181,28 @@
         state.removals.note_store_answered(now);
     }
 
+    /// This host has read a topic of the store up to `next`.
+    pub fn note_feed(&self, topic: FeedTopic, next: u64, moved: bool) {
+        let state = &mut *self.state.borrow_mut();
+        state.marks.note_own(topic, next, Instant::now());
+        state.marks_moved |= moved;
+    }
+
+    /// What this host has to do to learn of news after `next`.
+    #[must_use]
+    pub fn feed_duty(&self, topic: FeedTopic, next: u64) -> FeedDuty {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        if state.members.has_duty(STORE_READERS, now) {
+            return FeedDuty::Watch;
+        }
+        match state.marks.fresh_peer(topic, now) {
+            None => FeedDuty::Watch,
+            Some(mark) if mark > next => FeedDuty::Fetch,
+            Some(_) => FeedDuty::Rest,
+        }
+    }
+
     /// The store refused, broke or gave no answer.
     pub fn note_store_failed(&self, cause: &str) {
         let state = &mut *self.state.borrow_mut();
@@ -296,6 +328,7 @@
                 let caps = &mut state.caps;
                 let was_silent = news == BeatNews::Appeared;
                 caps.note_peer(beat.host, beat.incarnation, &beat.usage, was_silent, now);
+                state.marks.note_peer(beat.host, beat.marks.clone(), now);
             }
             news
         };
@@ -326,6 +359,7 @@
             ready,
             leaving: state.leaving_since.is_some(),
             catalog_version: state.catalog.version(),
+            marks: state.marks.own(now),
             loads: state.scheduler.load_report(),
             usage: state.caps.reports(),
             heard: state.members.audible(HEARD_PER_BEAT, now),
--- a/gateway/src/membership/beat.rs
+++ b/gateway/src/membership/beat.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::feed_marks::FeedMark;
 use crate::ids::{HostAddress, Incarnation, ZoneName};
 use crate::limits::UsageReport;
 use crate::scheduler::EndpointReport;
@@ -19,6 +20,8 @@
     /// Is about to stop.
     pub leaving: bool,
     pub catalog_version: u64,
+    /// How far the sender has read the store.
+    pub marks: Vec<FeedMark>,
     pub loads: Vec<EndpointReport>,
     pub usage: Vec<UsageReport>,
     /// A few other hosts that the sender hears, so that a host finds all from any one.
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -138,6 +138,16 @@
         audible.map(|(host, _)| *host).take(most).collect()
     }
 
+    /// Whether this host is one of the `count` hosts that do a shared duty. Every host that is heard
+    /// takes part in the ranking, so a silent one is replaced as soon as its silence is noticed.
+    #[must_use]
+    pub fn has_duty(&self, count: usize, now: Instant) -> bool {
+        let before = self.members.iter().filter(|(host, member)| {
+            **host < self.own && !member.leaving && is_heard_within(member, CUT_SUSPICION, now)
+        });
+        before.count() < count
+    }
+
     /// Hosts over which limits are shared.
     ///
     /// A host that falls silent may be cut off and still serving, so it counts on. It stops to
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::host;
-use gateway::membership::{BeatNews, MemberTable, PeerBeat};
+use gateway::membership::{BeatNews, FeedMark, FeedMarks, FeedTopic, MemberTable, PeerBeat};
 
 fn beat(number: u8, incarnation: u64, count: u64) -> PeerBeat {
     PeerBeat {
@@ -16,6 +16,7 @@
         ready: true,
         leaving: false,
         catalog_version: 1,
+        marks: Vec::new(),
         loads: Vec::new(),
         usage: Vec::new(),
         heard: Vec::new(),
@@ -93,3 +94,39 @@
     let sent = beat(2, 1, 1);
     assert_eq!(PeerBeat::decode(&sent.encode()), Some(sent));
 }
+
+/// Guards against hosts that stop asking the store because of a peer that cannot ask it either.
+#[test]
+fn old_marks_of_peers_save_no_call() {
+    let now = Instant::now();
+    let mut marks = FeedMarks::default();
+    assert_eq!(marks.fresh_peer(FeedTopic::Operators, now), None);
+    let mark = |next, age_ms| FeedMark {
+        topic: FeedTopic::Operators,
+        next,
+        age_ms,
+    };
+    marks.note_peer(host(2), vec![mark(7, 100)], now);
+    marks.note_peer(host(3), vec![mark(9, 5_000)], now);
+    assert_eq!(marks.fresh_peer(FeedTopic::Operators, now), Some(7));
+    assert_eq!(marks.fresh_peer(FeedTopic::Endpoints, now), None);
+    let later = now + Duration::from_millis(1_100);
+    assert_eq!(marks.fresh_peer(FeedTopic::Operators, later), None);
+    assert_eq!(marks.own(now), []);
+}
+
+/// Guards against a duty that nobody does after the host that had it is gone, and against one that
+/// every host does.
+#[test]
+fn the_first_hosts_that_are_heard_have_the_duty() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(host(3));
+    assert!(table.has_duty(2, now), "alone");
+    table.note_beat(&beat(1, 1, 1), now);
+    table.note_beat(&beat(2, 1, 1), now);
+    table.note_beat(&beat(4, 1, 1), now);
+    assert!(!table.has_duty(2, now));
+    let later = now + Duration::from_millis(800);
+    table.note_beat(&beat(2, 1, 2), later);
+    assert!(table.has_duty(2, later), "the first one is silent");
+}
