Relay load, members and usage through two hubs in fleets of more than 12 hosts

Change: in such fleets hosts send beats to two hubs, the largest hosts that are heard; a hub sends each host the sums over all others every 100 ms.

--- a/gateway/src/edge/peers.rs
+++ b/gateway/src/edge/peers.rs
@@ -7,12 +7,19 @@
 use compio::net::UdpSocket;
 
 use super::state::Edge;
-use crate::membership::PeerBeat;
+use crate::membership::PeerMessage;
 
 /// Longest time between two beats.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Least time between two beats when load changed: a fraction of the time that a prompt takes.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(30);
+/// The same where hubs relay: a summary is not sent more often.
+const RELAYED_REPORT_INTERVAL: Duration = Duration::from_millis(80);
+/// Time between two summaries of a hub: 85 hosts at 10 a second are 850 datagrams, 1 to 2 in 100 of
+/// a core.
+const SUMMARY_INTERVAL: Duration = Duration::from_millis(100);
+/// Every how manieth summary lists the hosts; twice within the time in which a host counts as cut.
+const MEMBERS_EVERY: u32 = 3;
 /// Largest datagram that is read.
 const MOST_BEAT_BYTES: usize = 16 * 1024;
 /// Pause after an error of the socket.
@@ -32,25 +39,54 @@
             load || usage || marks
         };
         if due || changed {
-            send_to_all(&edge, &socket).await;
+            send_beat(&edge, &socket).await;
             last = Some(Instant::now());
         }
-        compio::time::sleep(LOAD_REPORT_INTERVAL).await;
+        let interval = if edge.is_relayed() {
+            RELAYED_REPORT_INTERVAL
+        } else {
+            LOAD_REPORT_INTERVAL
+        };
+        compio::time::sleep(interval).await;
     }
 }
 
-/// Sends one beat to every host that is known.
-pub(crate) async fn send_to_all(edge: &Rc<Edge>, socket: &UdpSocket) {
-    let targets = edge.state.borrow().members.targets(Instant::now());
+/// Sends one beat to every host that should have it.
+pub(crate) async fn send_beat(edge: &Rc<Edge>, socket: &UdpSocket) {
+    let (targets, _) = edge.beat_targets();
     if targets.is_empty() {
         return;
     }
-    let mut bytes = edge.next_beat().encode();
+    let mut bytes = PeerMessage::Beat(edge.next_beat()).encode();
     for host in targets {
         bytes = send_one(edge, socket, host, bytes).await;
     }
 }
 
+/// Sends summaries while this host is a hub.
+pub(crate) async fn send_summaries(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let mut round: u32 = 0;
+    loop {
+        compio::time::sleep(SUMMARY_INTERVAL).await;
+        let (_, is_hub) = edge.beat_targets();
+        if !is_hub {
+            continue;
+        }
+        let own = edge.next_beat();
+        let members = if round.is_multiple_of(MEMBERS_EVERY) {
+            edge.member_lines(&own)
+        } else {
+            Vec::new()
+        };
+        round = round.wrapping_add(1);
+        for host in edge.summary_targets() {
+            let summary = edge.summary_for(host, &own, &members);
+            let bytes = PeerMessage::Summary(summary).encode();
+            send_one(&edge, &socket, host, bytes).await;
+        }
+    }
+}
+
 async fn send_one(edge: &Rc<Edge>, socket: &UdpSocket, host: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
     let target = SocketAddr::new(host, edge.settings.peer_port);
     let compio::BufResult(sent, bytes) = socket.send_to(bytes, target).await;
@@ -68,17 +104,16 @@
         let compio::BufResult(received, returned) = socket.recv_from(buffer).await;
         buffer = returned;
         match received {
-            Ok((length, sender)) => {
-                let Some(beat) = PeerBeat::decode(&buffer[..length]) else {
-                    edge.count("beat_unreadable");
-                    continue;
-                };
-                let host = sender.ip();
-                if edge.note_beat(beat) {
-                    let bytes = edge.next_beat().encode();
-                    send_one(&edge, &socket, host, bytes).await;
+            Ok((length, sender)) => match PeerMessage::decode(&buffer[..length]) {
+                Some(PeerMessage::Beat(beat)) => {
+                    if edge.note_beat(beat) {
+                        let bytes = PeerMessage::Beat(edge.next_beat()).encode();
+                        send_one(&edge, &socket, sender.ip(), bytes).await;
+                    }
                 }
-            }
+                Some(PeerMessage::Summary(summary)) => edge.note_summary(summary),
+                None => edge.count("beat_unreadable"),
+            },
             Err(_) => {
                 edge.count("beat_not_received");
                 compio::time::sleep(ERROR_PAUSE).await;
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -9,7 +9,7 @@
 use super::accept::{AcceptLimits, serve};
 use super::directory::{control_reply, directory_reply, readiness_reply};
 use super::forward::forward_request;
-use super::peers::{receive_beats, send_beats, send_to_all};
+use super::peers::{receive_beats, send_beat, send_beats, send_summaries};
 use super::state::Edge;
 
 const SIGTERM: i32 = 15;
@@ -40,6 +40,7 @@
     let readiness = TcpListener::bind(settings.readiness).await?;
     compio::runtime::spawn(receive_beats(Rc::clone(&edge), Rc::clone(&socket))).detach();
     compio::runtime::spawn(send_beats(Rc::clone(&edge), Rc::clone(&socket))).detach();
+    compio::runtime::spawn(send_summaries(Rc::clone(&edge), Rc::clone(&socket))).detach();
     compio::runtime::spawn(close_stale(Rc::clone(&edge))).detach();
     let side = AcceptLimits {
         connections: SIDE_CONNECTIONS,
@@ -120,7 +121,7 @@
     let since = Instant::now();
     log::info!(in_flight = edge.in_flight.get(); "edge: stopping");
     edge.state.borrow_mut().leaving_since = Some(since);
-    send_to_all(edge, socket).await;
+    send_beat(edge, socket).await;
     let latest = edge.settings.grace.saturating_sub(GRACE_MARGIN);
     loop {
         let elapsed = since.elapsed();
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -20,6 +20,8 @@
     pub metrics: Option<SocketAddr>,
     /// Port for datagrams between hosts, on every host.
     pub peer_port: u16,
+    /// Size of this host, in thousandths of a core.
+    pub cpu_permille: u32,
     /// Hosts that may be asked for others at the start.
     pub seeds: Vec<IpAddr>,
     /// Time between the request to stop and the kill.
--- a/gateway/src/membership/beat.rs
+++ b/gateway/src/membership/beat.rs
@@ -1,8 +1,9 @@
-//! The datagram that hosts send to each other.
+//! The datagrams that hosts send to each other.
 
 use serde::{Deserialize, Serialize};
 
 use super::feed_marks::FeedMark;
+use super::hubs::HubSummary;
 use crate::ids::{HostAddress, Incarnation, ZoneName};
 use crate::limits::UsageReport;
 use crate::scheduler::EndpointReport;
@@ -19,6 +20,8 @@
     pub ready: bool,
     /// Is about to stop.
     pub leaving: bool,
+    /// Size of the sender, in thousandths of a core.
+    pub cpu_permille: u32,
     pub catalog_version: u64,
     /// How far the sender has read the store.
     pub marks: Vec<FeedMark>,
@@ -28,16 +31,23 @@
     pub heard: Vec<HostAddress>,
 }
 
-impl PeerBeat {
+/// A datagram between hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    Beat(PeerBeat),
+    Summary(HubSummary),
+}
+
+impl PeerMessage {
     /// # Panics
     ///
     /// Never panics: every field has an encoding.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a beat has an encoding")
+        postcard::to_stdvec(self).expect("a message has an encoding")
     }
 
-    /// Returns `None` for bytes that are no beat.
+    /// Returns `None` for bytes that are no message.
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         postcard::from_bytes(bytes).ok()
--- a/gateway/src/membership/feed_marks.rs
+++ b/gateway/src/membership/feed_marks.rs
@@ -67,6 +67,24 @@
         marks.collect()
     }
 
+    /// The freshest mark of each topic, own or heard, for a hub's summary.
+    #[must_use]
+    pub fn newest(&self, now: Instant) -> Vec<FeedMark> {
+        let heard = self.peers.values().flatten().map(|(mark, heard)| {
+            let since = u32::try_from(now.duration_since(*heard).as_millis()).unwrap_or(u32::MAX);
+            FeedMark {
+                age_ms: mark.age_ms.saturating_add(since),
+                ..*mark
+            }
+        });
+        let all: Vec<FeedMark> = heard.chain(self.own(now)).collect();
+        let freshest = [FeedTopic::Operators, FeedTopic::Endpoints].map(|topic| {
+            let marks = all.iter().filter(|mark| mark.topic == topic);
+            marks.min_by_key(|mark| mark.age_ms).copied()
+        });
+        freshest.into_iter().flatten().collect()
+    }
+
     /// The furthest place that a peer has seen lately; `None` when no peer has asked the store
     /// lately.
     #[must_use]
--- /dev/null
+++ b/gateway/src/membership/hubs.rs
@@ -0,0 +1,129 @@
+//! Relays what hosts tell each other, where they are too many to tell each other directly.
+//!
+//! In a fleet of more than `DIRECT_HOSTS` hosts every host sends its beats to two hubs only, and a
+//! hub sends every host a summary of all the others. Any host can be a hub; the largest are taken.
+//! Both hubs know everything, so the loss of one is bridged at once, and a third host takes its
+//! place as soon as its silence is noticed.
+
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use super::beat::PeerBeat;
+use super::feed_marks::FeedMark;
+use crate::ids::{FastMap, HostAddress, Incarnation, NameHash, ZoneName};
+use crate::limits::UsageReport;
+use crate::scheduler::EndpointReport;
+
+/// Hosts up to which each tells all others directly: 12 hosts send 130 datagrams for one change
+/// each, which a host of an eighth of a core bears.
+pub const DIRECT_HOSTS: usize = 12;
+/// Hubs at a time.
+pub const HUBS: usize = 2;
+
+/// What a hub knows of one host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberLine {
+    pub host: HostAddress,
+    pub zone: ZoneName,
+    pub incarnation: Incarnation,
+    pub number: u64,
+    pub ready: bool,
+    pub leaving: bool,
+    /// Thousandths of a core.
+    pub cpu_permille: u32,
+}
+
+/// What a hub tells one host of all the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HubSummary {
+    pub hub: HostAddress,
+    pub incarnation: Incarnation,
+    pub number: u64,
+    /// Load of all hosts but the receiver.
+    pub loads: Vec<EndpointReport>,
+    /// Usage of all hosts but the receiver, since the hub began to count.
+    pub usage: Vec<UsageReport>,
+    pub marks: Vec<FeedMark>,
+    /// Hosts that the hub hears; left out of most summaries.
+    pub members: Vec<MemberLine>,
+}
+
+/// What one host told last, and what it has used since the hub heard of it.
+#[derive(Debug)]
+struct HostTally {
+    incarnation: Incarnation,
+    loads: Vec<EndpointReport>,
+    last: FastMap<NameHash, u64>,
+    used: FastMap<NameHash, u64>,
+    heard: Instant,
+}
+
+/// Sums of what all hosts told.
+#[derive(Debug, Default)]
+pub struct HubTally {
+    hosts: FastMap<HostAddress, HostTally>,
+}
+
+impl HubTally {
+    pub fn note_beat(&mut self, beat: &PeerBeat, now: Instant) {
+        let tally = self.hosts.entry(beat.host).or_insert_with(|| HostTally {
+            incarnation: beat.incarnation,
+            loads: Vec::new(),
+            last: beat
+                .usage
+                .iter()
+                .map(|report| (report.workspace, report.admitted))
+                .collect(),
+            used: FastMap::default(),
+            heard: now,
+        });
+        if tally.incarnation != beat.incarnation {
+            tally.incarnation = beat.incarnation;
+            tally.last.clear();
+        }
+        for report in &beat.usage {
+            let last = tally.last.insert(report.workspace, report.admitted);
+            let more = report.admitted.saturating_sub(last.unwrap_or(0));
+            *tally.used.entry(report.workspace).or_default() += more;
+        }
+        tally.loads.clone_from(&beat.loads);
+        tally.heard = now;
+    }
+
+    /// Sums over all hosts but `receiver`; loads of silent hosts are left out.
+    #[must_use]
+    pub fn without(
+        &self,
+        receiver: HostAddress,
+        is_heard: impl Fn(Instant) -> bool,
+    ) -> (Vec<EndpointReport>, Vec<UsageReport>) {
+        let mut loads: FastMap<NameHash, EndpointReport> = FastMap::default();
+        let mut usage: FastMap<NameHash, u64> = FastMap::default();
+        for (host, tally) in &self.hosts {
+            if *host == receiver {
+                continue;
+            }
+            for (workspace, used) in &tally.used {
+                *usage.entry(*workspace).or_default() += used;
+            }
+            if !is_heard(tally.heard) {
+                continue;
+            }
+            for report in &tally.loads {
+                let sum = loads.entry(report.endpoint).or_insert(EndpointReport {
+                    endpoint: report.endpoint,
+                    active: 0,
+                    unread_tokens: 0,
+                });
+                sum.active = sum.active.saturating_add(report.active);
+                sum.unread_tokens = sum.unread_tokens.saturating_add(report.unread_tokens);
+            }
+        }
+        let usage = usage.into_iter().map(|(workspace, admitted)| UsageReport {
+            workspace,
+            admitted,
+        });
+        (loads.into_values().collect(), usage.collect())
+    }
+}
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::beat::PeerBeat;
+use super::hubs::{DIRECT_HOSTS, HUBS, MemberLine};
 use crate::ids::{FastMap, HostAddress, Incarnation, ZoneName};
 
 /// A host that is silent for longer is not named to callers: eight missed beats. Callers must
@@ -23,6 +24,7 @@
     number: u64,
     ready: bool,
     leaving: bool,
+    cpu_permille: u32,
     heard: Option<Instant>,
     introduced: Instant,
 }
@@ -72,24 +74,39 @@
             number: 0,
             ready: false,
             leaving: false,
+            cpu_permille: 0,
             heard: None,
             introduced: now,
         });
     }
 
     pub fn note_beat(&mut self, beat: &PeerBeat, now: Instant) -> BeatNews {
-        if beat.host == self.own {
-            return BeatNews::Stale;
-        }
-        self.introduce(beat.host, now);
         for host in &beat.heard {
             self.introduce(*host, now);
         }
-        let Some(member) = self.members.get_mut(&beat.host) else {
+        let line = MemberLine {
+            host: beat.host,
+            zone: beat.zone.clone(),
+            incarnation: beat.incarnation,
+            number: beat.number,
+            ready: beat.ready,
+            leaving: beat.leaving,
+            cpu_permille: beat.cpu_permille,
+        };
+        self.note_line(line, now)
+    }
+
+    /// Takes what a host, or a hub that hears it, tells of it.
+    pub fn note_line(&mut self, line: MemberLine, now: Instant) -> BeatNews {
+        if line.host == self.own {
+            return BeatNews::Stale;
+        }
+        self.introduce(line.host, now);
+        let Some(member) = self.members.get_mut(&line.host) else {
             return BeatNews::Stale;
         };
-        let same = member.incarnation == beat.incarnation;
-        if same && beat.number <= member.number {
+        let same = member.incarnation == line.incarnation;
+        if same && line.number <= member.number {
             return BeatNews::Stale;
         }
         let news = if same && is_heard_within(member, CUT_SUSPICION, now) {
@@ -97,15 +114,65 @@
         } else {
             BeatNews::Appeared
         };
-        member.zone.clone_from(&beat.zone);
-        member.incarnation = beat.incarnation;
-        member.number = beat.number;
-        member.ready = beat.ready;
-        member.leaving = beat.leaving;
-        member.heard = Some(now);
+        *member = MemberEntry {
+            zone: line.zone,
+            incarnation: line.incarnation,
+            number: line.number,
+            ready: line.ready,
+            leaving: line.leaving,
+            cpu_permille: line.cpu_permille,
+            heard: Some(now),
+            introduced: member.introduced,
+        };
         news
     }
 
+    /// Hosts that are heard, for a summary.
+    #[must_use]
+    pub fn lines(&self, now: Instant) -> Vec<MemberLine> {
+        let heard = self
+            .members
+            .iter()
+            .filter(|(_, member)| is_heard_within(member, CUT_SUSPICION, now));
+        heard
+            .map(|(host, member)| MemberLine {
+                host: *host,
+                zone: member.zone.clone(),
+                incarnation: member.incarnation,
+                number: member.number,
+                ready: member.ready,
+                leaving: member.leaving,
+                cpu_permille: member.cpu_permille,
+            })
+            .collect()
+    }
+
+    /// The hosts that relay, the first one first; `None` while all tell each other directly.
+    ///
+    /// `own_cpu_permille`: size of this host. The largest hosts come first.
+    #[must_use]
+    pub fn hubs(&self, own_cpu_permille: u32, now: Instant) -> Option<Vec<HostAddress>> {
+        let heard = self
+            .members
+            .iter()
+            .filter(|(_, member)| !member.leaving && is_heard_within(member, CUT_SUSPICION, now));
+        let mut ranked: Vec<_> = heard
+            .map(|(host, member)| (std::cmp::Reverse(member.cpu_permille), *host))
+            .collect();
+        if ranked.len() < DIRECT_HOSTS {
+            return None;
+        }
+        ranked.push((std::cmp::Reverse(own_cpu_permille), self.own));
+        ranked.sort_unstable();
+        Some(
+            ranked
+                .into_iter()
+                .take(HUBS)
+                .map(|(_, host)| host)
+                .collect(),
+        )
+    }
+
     /// Hosts to which beats go.
     #[must_use]
     pub fn targets(&self, now: Instant) -> Vec<HostAddress> {
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -2,8 +2,10 @@
 
 mod beat;
 mod feed_marks;
+mod hubs;
 mod members;
 
-pub use beat::PeerBeat;
+pub use beat::{PeerBeat, PeerMessage};
 pub use feed_marks::{FeedDuty, FeedMark, FeedMarks, FeedTopic};
+pub use hubs::{DIRECT_HOSTS, HUBS, HubSummary, HubTally, MemberLine};
 pub use members::{BeatNews, MemberTable, MemberView};
--- a/gateway/src/scheduler/endpoint_load.rs
+++ b/gateway/src/scheduler/endpoint_load.rs
@@ -149,6 +149,10 @@
         }
     }
 
+    pub fn forget_peers(&mut self) {
+        self.peers.clear();
+    }
+
     /// What this host tells its peers; `None` when it has nothing here.
     pub fn report(&self) -> Option<EndpointReport> {
         if self.runs.is_empty() {
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -103,6 +103,12 @@
             SchedulerEvent::PeerReported { peer, reports } => {
                 self.note_peer(peer, &reports, now);
             }
+            SchedulerEvent::PeersReplaced { peer, reports } => {
+                for load in &mut self.endpoints {
+                    load.forget_peers();
+                }
+                self.note_peer(peer, &reports, now);
+            }
             SchedulerEvent::HostsChanged { own, hosts } => {
                 self.own = Some(own);
                 self.hosts = hosts;
@@ -315,9 +321,12 @@
     }
 
     fn note_peer(&mut self, peer: HostAddress, reports: &[EndpointReport], now: Instant) {
+        let by_endpoint: FastMap<_, _> = reports
+            .iter()
+            .map(|report| (report.endpoint, report))
+            .collect();
         for load in &mut self.endpoints {
-            let report = reports.iter().find(|report| report.endpoint == load.hash);
-            load.set_peer(peer, report, now);
+            load.set_peer(peer, by_endpoint.get(&load.hash).copied(), now);
         }
     }
 
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -95,6 +95,11 @@
         peer: HostAddress,
         reports: Vec<EndpointReport>,
     },
+    /// The reports of a hub replace those of all peers.
+    PeersReplaced {
+        peer: HostAddress,
+        reports: Vec<EndpointReport>,
+    },
     /// The hosts that are alive, this one among them.
     HostsChanged {
         own: HostAddress,
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::host;
-use gateway::membership::{BeatNews, FeedMark, FeedMarks, FeedTopic, MemberTable, PeerBeat};
+use gateway::membership::{
+    BeatNews, FeedMark, FeedMarks, FeedTopic, HubTally, MemberTable, PeerBeat, PeerMessage,
+};
 
 fn beat(number: u8, incarnation: u64, count: u64) -> PeerBeat {
     PeerBeat {
@@ -15,6 +17,7 @@
         number: count,
         ready: true,
         leaving: false,
+        cpu_permille: 250,
         catalog_version: 1,
         marks: Vec::new(),
         loads: Vec::new(),
@@ -90,9 +93,9 @@
 /// Guards against bytes from elsewhere that stop the exchange.
 #[test]
 fn foreign_datagrams_are_no_beats() {
-    assert_eq!(PeerBeat::decode(b"\x00\x01nonsense"), None);
-    let sent = beat(2, 1, 1);
-    assert_eq!(PeerBeat::decode(&sent.encode()), Some(sent));
+    assert_eq!(PeerMessage::decode(b"\x00\x01nonsense"), None);
+    let sent = PeerMessage::Beat(beat(2, 1, 1));
+    assert_eq!(PeerMessage::decode(&sent.encode()), Some(sent));
 }
 
 /// Guards against hosts that stop asking the store because of a peer that cannot ask it either.
@@ -130,3 +133,86 @@
     table.note_beat(&beat(2, 1, 2), later);
     assert!(table.has_duty(2, later), "the first one is silent");
 }
+
+/// Guards against hosts that disagree on who relays, and against a fleet whose hub is gone.
+#[test]
+fn the_largest_hosts_that_are_heard_relay() {
+    let now = Instant::now();
+    let tables: Vec<_> = (1..=14_u8)
+        .map(|own| {
+            let mut table = MemberTable::new(host(own));
+            for other in (1..=14).filter(|other| *other != own) {
+                let cpu_permille = if other >= 12 { 500 } else { 120 };
+                table.note_beat(
+                    &PeerBeat {
+                        cpu_permille,
+                        ..beat(other, 1, 1)
+                    },
+                    now,
+                );
+            }
+            (own, table)
+        })
+        .collect();
+    for (own, table) in &tables {
+        let cpu_permille = if *own >= 12 { 500 } else { 120 };
+        assert_eq!(
+            table.hubs(cpu_permille, now),
+            Some(vec![host(12), host(13)]),
+            "{own}"
+        );
+    }
+    let (_, mut table) = tables.into_iter().next().expect("a table");
+    let later = now + Duration::from_millis(800);
+    for other in (2..=14_u8).filter(|other| *other != 12) {
+        let cpu_permille = if other >= 12 { 500 } else { 120 };
+        table.note_beat(
+            &PeerBeat {
+                cpu_permille,
+                ..beat(other, 1, 2)
+            },
+            later,
+        );
+    }
+    assert_eq!(table.hubs(120, later), Some(vec![host(13), host(14)]));
+    let small = MemberTable::new(host(1));
+    assert_eq!(
+        small.hubs(120, now),
+        None,
+        "few hosts tell each other directly"
+    );
+}
+
+/// Guards against a summary that counts the receiver's own load or usage, loses usage at a restart
+/// of a host, or keeps the load of a silent one.
+#[test]
+fn a_summary_is_about_all_others() {
+    use gateway::limits::UsageReport;
+    use gateway::scheduler::EndpointReport;
+    let now = Instant::now();
+    let told = |number: u8, incarnation: u64, active: u16, admitted: u64| PeerBeat {
+        loads: vec![EndpointReport {
+            endpoint: 1,
+            active,
+            unread_tokens: 10,
+        }],
+        usage: vec![UsageReport {
+            workspace: 5,
+            admitted,
+        }],
+        ..beat(number, incarnation, 1)
+    };
+    let mut tally = HubTally::default();
+    for number in 1..=3 {
+        tally.note_beat(&told(number, 1, 2, 0), now);
+        tally.note_beat(&told(number, 1, 2, 100), now);
+    }
+    // Host 2 starts again and uses 30 more.
+    tally.note_beat(&told(2, 2, 4, 30), now);
+    let (loads, usage) = tally.without(host(1), |_| true);
+    assert_eq!((loads[0].active, loads[0].unread_tokens), (6, 20));
+    assert_eq!(usage[0].admitted, 230);
+    let (loads, usage) = tally.without(host(1), |_| false);
+    assert!(loads.is_empty());
+    assert_eq!(usage[0].admitted, 230);
+}
