Share free places among the hosts of a large fleet, pause after a refusal

Cause: an endpoint that becomes free (after a cold start, say) looks free to all 61 hosts until the next summary; it got up to nine requests from each: 168 refusals in half a second at one endpoint, 11,658 of 28,445 arrivals refused in all. An endpoint that refuses at once looks free again at once. Change: a summary deals each host credits for its part of the free places, 2.5 times over; 120 ms pause after a refusal; plain services are chosen with more noise in large fleets.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -41,9 +41,17 @@
     /// Hosts that may look at all endpoints for each choice; with more hosts each looks at a part.
     /// Nine hosts that look at all gain from it; 61 and 85 choose the same endpoints.
     pub choices_at_once: f64,
+    /// How many times a free place is dealt out over all hosts of a large fleet. More than once,
+    /// since not every host has a request for it; few of those that collide wait long.
+    pub credit_overlap: f64,
+    /// Pause after an endpoint refused unrun: it is full, and its places look free.
+    pub refusal_backoff: Duration,
     /// Relative spread of the random factor on each score; keeps hosts that see the same reports
     /// from choosing the same endpoint.
     pub score_noise: f64,
+    /// The same for plain services in large fleets: a service has few endpoints, and their answers
+    /// are shorter than the time between two summaries.
+    pub plain_noise: f64,
 }
 
 impl Default for SchedulerSettings {
@@ -69,6 +77,9 @@
             interference_weight: 0.1,
             decode_weight: 0.25,
             choices_at_once: 12.0,
+            credit_overlap: 2.5,
+            refusal_backoff: Duration::from_millis(120),
+            plain_noise: 2.0,
             score_noise: 0.1,
         }
     }
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -63,7 +63,12 @@
         if !has_room(load, engine, settings, now) {
             continue;
         }
-        let noise = 1.0 + settings.score_noise * draw();
+        let spread = if engine || bounds.looked_at >= 1.0 {
+            settings.score_noise
+        } else {
+            settings.plain_noise
+        };
+        let noise = 1.0 + spread * draw();
         let cost = expected_cost(load, item, engine, settings, now) * noise;
         let slot = if draw() < bounds.looked_at {
             &mut best
@@ -95,6 +100,9 @@
     if load.active(settings.peer_expiry, now) >= places {
         return false;
     }
+    if engine && !load.has_credit() {
+        return false;
+    }
     let share = load.cold_share_per_s;
     load.gate.admits(share, now)
 }
--- a/gateway/src/scheduler/endpoint_health.rs
+++ b/gateway/src/scheduler/endpoint_health.rs
@@ -37,7 +37,12 @@
     pub fn note(&mut self, end: RunEnd, settings: &SchedulerSettings, now: Instant) {
         let failed = match end {
             RunEnd::Completed => 0.0,
-            RunEnd::Failed | RunEnd::NotRun | RunEnd::Broken | RunEnd::Stalled => 1.0,
+            RunEnd::Failed | RunEnd::Broken | RunEnd::Stalled => 1.0,
+            RunEnd::NotRun => {
+                let until = now + settings.refusal_backoff;
+                self.blocked_until = self.blocked_until.max(Some(until));
+                1.0
+            }
             RunEnd::Unreachable | RunEnd::Misdirected => {
                 self.block(settings, now);
                 1.0
--- a/gateway/src/scheduler/endpoint_load.rs
+++ b/gateway/src/scheduler/endpoint_load.rs
@@ -39,6 +39,9 @@
     pub gate: ColdGate,
     /// Requests per second that this host may send while the endpoint is cold.
     pub cold_share_per_s: f64,
+    /// Places that this host may still take before the next summary of a hub; `None` where hosts
+    /// tell each other directly.
+    place_credits: Option<u32>,
     runs: FastMap<TicketNumber, RunTrack>,
     peers: FastMap<HostAddress, PeerLoad>,
 }
@@ -52,6 +55,7 @@
             pace: PaceEstimate::default(),
             gate: ColdGate::default(),
             cold_share_per_s: 0.0,
+            place_credits: None,
             runs: FastMap::default(),
             peers: FastMap::default(),
         }
@@ -67,6 +71,7 @@
         };
         self.runs.insert(item.ticket, run);
         self.gate.consume();
+        self.place_credits = self.place_credits.map(|credits| credits.saturating_sub(1));
     }
 
     pub fn note_first_byte(&mut self, ticket: TicketNumber, engine: bool, now: Instant) {
@@ -149,7 +154,26 @@
         }
     }
 
+    /// Deals this host its part of the places that are free according to a new summary. Without
+    /// it, every host would take all places of an endpoint that has just become free.
+    pub fn deal_credits(&mut self, part: f64, draw: f64, expiry: Duration, now: Instant) {
+        let free = self.entry.slots.saturating_sub(self.active(expiry, now));
+        let dealt = f64::from(free) * part;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "at most the slots of an endpoint"
+        )]
+        let whole = (dealt + draw).floor() as u32;
+        self.place_credits = Some(whole);
+    }
+
+    pub fn has_credit(&self) -> bool {
+        self.place_credits != Some(0)
+    }
+
     pub fn forget_peers(&mut self) {
+        self.place_credits = None;
         self.peers.clear();
     }
 
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -108,6 +108,7 @@
                     load.forget_peers();
                 }
                 self.note_peer(peer, &reports, now);
+                self.deal_credits(now);
             }
             SchedulerEvent::HostsChanged { own, hosts } => {
                 self.own = Some(own);
@@ -330,6 +331,15 @@
         }
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
+    fn deal_credits(&mut self, now: Instant) {
+        let part = self.settings.credit_overlap / self.hosts.len().max(1) as f64;
+        for load in &mut self.endpoints {
+            let draw = self.random.random::<f64>();
+            load.deal_credits(part.min(1.0), draw, self.settings.peer_expiry, now);
+        }
+    }
+
     /// Deals the rate of each cold endpoint to the hosts that rank first for it.
     fn share_cold_rates(&mut self) {
         let Some(own) = self.own else { return };
