Refuse hopeless requests at once and wait less

Change: a request whose expected wait (those ahead over those sent a second) exceeds its bound is refused on arrival with that wait as Retry-After; bounds 2.5, 1.2 and 0.8 s.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -59,9 +59,9 @@
         Self {
             cold_senders: 8,
             queue_wait: vec![
-                Duration::from_secs(4),
                 Duration::from_millis(2_500),
-                Duration::from_millis(1_500),
+                Duration::from_millis(1_200),
+                Duration::from_millis(800),
             ],
             tier_step: Duration::from_millis(150),
             first_byte_margin: Duration::from_millis(80),
--- a/gateway/src/scheduler/queue.rs
+++ b/gateway/src/scheduler/queue.rs
@@ -24,6 +24,15 @@
         self.items.len()
     }
 
+    /// Waiting requests of a service that a new one of this tier waits for.
+    pub fn ahead_of(&self, item: &WorkItem) -> usize {
+        let ahead = self.items.iter().filter(|other| {
+            other.service == item.service
+                && (other.tier, other.route_tier) <= (item.tier, item.route_tier)
+        });
+        ahead.count()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.items.is_empty()
     }
@@ -94,6 +103,10 @@
 
 /// When a request has waited as long as it may: its tier's bound, and never past half of its time.
 fn wait_end(item: &WorkItem, settings: &SchedulerSettings) -> Instant {
+    item.arrived + longest_wait(item, settings)
+}
+
+pub(crate) fn longest_wait(item: &WorkItem, settings: &SchedulerSettings) -> Duration {
     let last = settings.queue_wait.len().saturating_sub(1);
     let bound = settings
         .queue_wait
@@ -101,5 +114,5 @@
         .copied()
         .unwrap_or(Duration::ZERO);
     let half = item.deadline.saturating_duration_since(item.arrived) / 2;
-    item.arrived + bound.min(half)
+    bound.min(half)
 }
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -8,7 +8,7 @@
 
 use super::choice::{ChoiceBounds, EndpointChoice, choose_endpoint};
 use super::endpoint_load::EndpointLoad;
-use super::queue::WaitQueue;
+use super::queue::{WaitQueue, longest_wait};
 use super::tier_shares::ServiceShares;
 use super::types::{
     EndpointReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem,
@@ -21,6 +21,8 @@
 
 /// Shortest wait that a refused caller is told: the time in which a few places come free.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Waiting requests below which no wait is foretold.
+const LEAST_AHEAD: usize = 3;
 /// Longest such wait; callers honour a third of their time at most.
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(3);
 
@@ -154,12 +156,33 @@
             let shares = self.shares.entry(service.clone()).or_default();
             shares.note_asked(item.route_tier, &self.settings, now);
         }
+        if let Some(wait) = self.hopeless_wait(&item, now) {
+            return vec![SchedulerEffect::Refuse {
+                ticket: item.ticket,
+                reason: RefusalReason::Waited,
+                retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
+            }];
+        }
         self.queue.push(item);
         let mut effects = Vec::new();
         self.send_service(&service, now, &mut effects);
         effects
     }
 
+    /// The expected wait of a request that could not be sent within its bound. Its caller is
+    /// better told at once than after the wait.
+    fn hopeless_wait(&self, item: &WorkItem, now: Instant) -> Option<Duration> {
+        let ahead = self.queue.ahead_of(item);
+        let shares = self.shares.get(&item.service)?;
+        if ahead < LEAST_AHEAD || shares.is_short(item.route_tier, &self.settings, now) {
+            return None;
+        }
+        let rate = shares.sent_per_s(&self.settings, now).max(1.0);
+        #[expect(clippy::cast_precision_loss, reason = "the queue is bounded")]
+        let wait = Duration::from_secs_f64(ahead as f64 / rate);
+        (wait > longest_wait(item, &self.settings)).then_some(wait)
+    }
+
     fn send_waiting(&mut self, now: Instant) -> Vec<SchedulerEffect> {
         let mut effects = Vec::new();
         if self.queue.is_empty() {
--- a/gateway/src/scheduler/tier_shares.rs
+++ b/gateway/src/scheduler/tier_shares.rs
@@ -48,6 +48,16 @@
         self.add(tier, 0.0, 1.0, settings, now);
     }
 
+    /// Requests sent in one second, on average over the last few.
+    pub fn sent_per_s(&self, settings: &SchedulerSettings, now: Instant) -> f64 {
+        let sent: f64 = self
+            .tiers
+            .values()
+            .map(|count| count.decayed(settings, now).1)
+            .sum();
+        sent * std::f64::consts::LN_2 / settings.share_half_life.as_secs_f64()
+    }
+
     /// Whether the tier is sent much less often than all requests are.
     pub fn is_short(&self, tier: TierNumber, settings: &SchedulerSettings, now: Instant) -> bool {
         let Some(count) = self.tiers.get(&tier) else {
