--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -18,7 +18,7 @@
 /// Longest wait that a caller over its cap is told.
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Shortest such wait.
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(300);
+const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How far caps may be exceeded, over all hosts.
 #[derive(Clone, Copy, Debug)]
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -19,8 +19,9 @@
     EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, VersionName, ZoneName, name_hash,
 };
 
-/// Shortest wait that a refused caller is told: the time in which a few places come free.
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Shortest wait that a refused caller is told. An overload lasts for seconds; who comes back within
+/// it is refused again.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 /// Waiting requests below which no wait is foretold.
 const LEAST_AHEAD: usize = 3;
 /// Longest such wait; callers honour a third of their time at most.
