--- /dev/null
+++ b/gateway/src/edge/admit.rs
@@ -0,0 +1,166 @@
+//! Reads a caller's request and checks it against the catalog and the caps.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use http::{Request, header};
+use http_util::{BodyError, head_bytes, read_body};
+use hyper::body::Incoming;
+
+use super::forward::{ForwardFault, ForwardJob, InFlightGuard};
+use super::headers;
+use super::reply::EdgeFault;
+use super::state::Edge;
+use crate::catalog::{RouteEntry, RoutingTable, WorkspaceEntry};
+use crate::limits::UsageVerdict;
+
+/// Time after the request to stop for which new requests are still taken: what callers need to
+/// learn of another host. Later ones could not be finished within the grace time.
+const TAKEN_WHILE_LEAVING: Duration = Duration::from_millis(2_500);
+/// A refused caller of a stopping host finds another one at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Wait that callers are told before the first configuration.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Reads a request and checks it against the catalog and the caps.
+pub(crate) async fn admit(
+    edge: &Rc<Edge>,
+    request: Request<Incoming>,
+    id: &CompactString,
+    arrived: Instant,
+) -> Result<ForwardJob, ForwardFault> {
+    let (routing, limits, version, leaving) = {
+        let state = edge.state.borrow();
+        (
+            state.catalog.routing(),
+            state.catalog.limits(),
+            state.catalog.version(),
+            state.leaving_since,
+        )
+    };
+    if version == 0 {
+        return Err(ForwardFault {
+            fault: EdgeFault::NotConfigured,
+            retry_after: Some(UNCONFIGURED_RETRY_AFTER),
+        });
+    }
+    if head_bytes(&request) > limits.max_header_bytes {
+        return Err(EdgeFault::HeadTooLarge.into());
+    }
+    let in_flight = InFlightGuard::new(edge);
+    let (parts, body) = request.into_parts();
+    let names = &edge.dialect.headers;
+    let host = headers::text(&parts.headers, &header::HOST)
+        .or_else(|| parts.uri.host())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = routing
+        .find_route(host, parts.uri.path())
+        .ok_or(EdgeFault::NoRoute)?;
+    let workspace = find_workspace(&routing, route, headers::text(&parts.headers, &names.key))?;
+    let body = read_body(body, limits.max_body_bytes, limits.idle_timeout)
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLarge { .. } => EdgeFault::BodyTooLarge,
+            BodyError::TooSlow { .. } => EdgeFault::BodyTooSlow,
+            BodyError::Truncated => EdgeFault::BodyCut,
+        })?;
+    if leaving.is_some_and(|since| since.elapsed() > TAKEN_WHILE_LEAVING) {
+        return Err(ForwardFault {
+            fault: EdgeFault::Stopping,
+            retry_after: Some(STOPPING_RETRY_AFTER),
+        });
+    }
+    let usage = headers::text(&parts.headers, &names.token_usage)
+        .and_then(|text| (edge.dialect.parse_usage)(text));
+    let hint = headers::text(&parts.headers, &names.length_hint).and_then(|text| text.parse().ok());
+    let expected_output = expected_output(usage, hint);
+    if let Some(workspace) = &workspace {
+        take_usage(edge, id, workspace, usage)?;
+    }
+    let service = route
+        .pick_target(edge.draw())
+        .cloned()
+        .ok_or(EdgeFault::NoRoute)?;
+    let patience = headers::text(&parts.headers, &names.deadline_ms)
+        .and_then(|text| text.parse().ok())
+        .map_or(route.timeout, Duration::from_millis)
+        .min(route.timeout);
+    let workspace_name = workspace.as_ref().map(|workspace| workspace.name.as_str());
+    Ok(ForwardJob {
+        headers: headers::for_endpoint(&parts.headers, names, workspace_name),
+        edge: Rc::clone(edge),
+        id: id.clone(),
+        route: Rc::clone(route),
+        service,
+        workspace,
+        method: parts.method,
+        uri: parts.uri,
+        body,
+        usage,
+        expected_output,
+        arrived,
+        deadline: arrived + patience,
+        tried: Vec::new(),
+        runs: 0,
+        dispatches: 0,
+        waited: Duration::ZERO,
+        first_byte: None,
+        in_flight,
+    })
+}
+
+fn find_workspace(
+    routing: &RoutingTable,
+    route: &RouteEntry,
+    key: Option<&str>,
+) -> Result<Option<Rc<WorkspaceEntry>>, EdgeFault> {
+    if !routing.has_workspaces() {
+        return Ok(None);
+    }
+    let workspace = key.and_then(|key| routing.workspace(key)).cloned();
+    if workspace.is_none() && !route.public {
+        return Err(EdgeFault::UnknownKey);
+    }
+    Ok(workspace)
+}
+
+fn take_usage(
+    edge: &Rc<Edge>,
+    id: &str,
+    workspace: &WorkspaceEntry,
+    usage: Option<(u32, u32)>,
+) -> Result<(), ForwardFault> {
+    let state = &mut *edge.state.borrow_mut();
+    let idle = !state.scheduler.has_waiting();
+    let verdict = state
+        .caps
+        .admit(&workspace.name, total_tokens(usage), idle, Instant::now());
+    match verdict {
+        UsageVerdict::Admitted => Ok(()),
+        UsageVerdict::Refused { retry_after, level } => {
+            log::info!(
+                id = id, workspace = workspace.name.as_str(), tokens = total_tokens(usage).unwrap_or(0),
+                level = level, idle = idle;
+                "usage: over the cap"
+            );
+            Err(ForwardFault {
+                fault: EdgeFault::OverCap,
+                retry_after: Some(retry_after),
+            })
+        }
+    }
+}
+
+/// Part of the longest answer that is expected of callers who give no estimate: answers are a
+/// tenth of the announced limit on average.
+const TYPICAL_ANSWER_PART: u32 = 10;
+
+fn expected_output(usage: Option<(u32, u32)>, hint: Option<u32>) -> u32 {
+    let most = usage.map_or(0, |(_, output)| output);
+    hint.unwrap_or(most / TYPICAL_ANSWER_PART).min(most)
+}
+
+pub(crate) fn total_tokens(usage: Option<(u32, u32)>) -> Option<u32> {
+    usage.map(|(prompt, output)| prompt.saturating_add(output))
+}
--- /dev/null
+++ b/gateway/src/edge/dispatch.rs
@@ -0,0 +1,181 @@
+//! Sends a request to one endpoint and judges the head of its answer.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use http_util::SendFailure;
+use hyper::body::Incoming;
+
+use super::connection_pool::EndpointConnection;
+use super::forward::{EndpointAnswer, ForwardJob};
+use super::headers;
+use super::placement::PlacedRun;
+use crate::catalog::EndpointEntry;
+use crate::scheduler::RunEnd;
+
+/// Part of the time to a first byte after which a silent endpoint is left, where the request may
+/// be repeated: the rest is enough for another one.
+const SILENCE_PART: f64 = 0.35;
+/// Shortest such time: long prompts take a second to read.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+/// What one dispatch came to when it gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DispatchFailure {
+    /// Not run, and the endpoint was not reached.
+    Unreachable,
+    /// Not run: the endpoint said so.
+    NotRun,
+    /// May have run.
+    MaybeRun,
+    /// May have run; the endpoint was silent for too long.
+    Silent,
+    /// The endpoint answered with a failure, and another one may be asked.
+    Failed,
+}
+
+impl DispatchFailure {
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Unreachable => "retry_unreachable",
+            Self::NotRun => "retry_not_run",
+            Self::MaybeRun => "retry_broken",
+            Self::Silent => "retry_silent",
+            Self::Failed => "retry_failed",
+        }
+    }
+}
+
+/// Sends the request to the placed endpoint and waits for the head of its answer.
+///
+/// `resume_after`: id of the last event that the caller has.
+pub(crate) async fn send_job(
+    job: &mut ForwardJob,
+    run: PlacedRun,
+    resume_after: Option<u64>,
+) -> Result<EndpointAnswer, DispatchFailure> {
+    let endpoint = Rc::clone(&run.endpoint);
+    job.tried.push(endpoint.id.clone());
+    job.dispatches += 1;
+    let Ok(mut connection) = job.edge.pool.take(&endpoint).await else {
+        run.end(RunEnd::Unreachable);
+        return Err(DispatchFailure::Unreachable);
+    };
+    let request = endpoint_request(job, &endpoint, resume_after);
+    job.runs += 1;
+    let sending = connection.send(request);
+    let sent = match silence_limit(job) {
+        Some(limit) => {
+            let Ok(sent) = compio::time::timeout(limit, sending).await else {
+                run.end(RunEnd::Stalled);
+                return Err(DispatchFailure::Silent);
+            };
+            sent
+        }
+        None => sending.await,
+    };
+    let response = match sent {
+        Ok(response) => response,
+        Err(SendFailure::NotSent) => {
+            job.runs -= 1;
+            // A kept connection that the endpoint has closed says nothing of the endpoint.
+            let end = if connection.reused {
+                job.tried.pop();
+                RunEnd::Abandoned
+            } else {
+                RunEnd::Unreachable
+            };
+            run.end(end);
+            return Err(DispatchFailure::Unreachable);
+        }
+        Err(SendFailure::MaybeRun) => {
+            run.end(RunEnd::Broken);
+            return Err(DispatchFailure::MaybeRun);
+        }
+    };
+    judge_head(job, run, connection, response)
+}
+
+/// Decides whether the head of an answer may be passed on.
+fn judge_head(
+    job: &mut ForwardJob,
+    run: PlacedRun,
+    mut connection: EndpointConnection,
+    response: Response<Incoming>,
+) -> Result<EndpointAnswer, DispatchFailure> {
+    let names = &job.edge.dialect.headers;
+    let status = response.status();
+    let head = response.headers();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        job.runs -= 1;
+        run.end(RunEnd::Misdirected);
+        return Err(DispatchFailure::NotRun);
+    }
+    if head.contains_key(&names.not_run) {
+        job.runs -= 1;
+        run.end(RunEnd::NotRun);
+        return Err(DispatchFailure::NotRun);
+    }
+    let echoed = headers::text(head, &names.request_id);
+    let foreign = echoed.is_some_and(|echoed| echoed != job.id);
+    let unsigned = status.is_success() && !head.contains_key(&names.signature);
+    let encoded = head.contains_key(header::CONTENT_ENCODING);
+    if foreign || unsigned || encoded {
+        run.end(RunEnd::Broken);
+        return Err(DispatchFailure::MaybeRun);
+    }
+    if status.is_server_error() && job.route.kind.is_repeatable() && job.runs < job.route.attempts {
+        run.end(RunEnd::Failed);
+        return Err(DispatchFailure::Failed);
+    }
+    connection.note_keep_alive(keep_alive_seconds(head));
+    Ok(EndpointAnswer {
+        run,
+        connection,
+        response,
+    })
+}
+
+fn keep_alive_seconds(head: &HeaderMap) -> Option<u64> {
+    let value = head.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok()
+}
+
+/// How long an endpoint may be silent before the request is sent elsewhere, where that is allowed.
+pub(crate) fn silence_limit(job: &ForwardJob) -> Option<Duration> {
+    if !job.route.kind.is_repeatable() || job.runs >= job.route.attempts {
+        return None;
+    }
+    let whole = job.deadline.saturating_duration_since(job.arrived);
+    Some(whole.mul_f64(SILENCE_PART).max(LEAST_SILENCE))
+}
+
+fn endpoint_request(
+    job: &ForwardJob,
+    endpoint: &EndpointEntry,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let names = &job.edge.dialect.headers;
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    let mut headers = job.headers.clone();
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    headers.insert(
+        names.deadline_ms.clone(),
+        HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
+    );
+    if let Ok(value) = HeaderValue::from_str(&endpoint.id) {
+        headers.insert(names.expected_endpoint.clone(), value);
+    }
+    if let Some(id) = resume_after {
+        headers.insert("last-event-id", HeaderValue::from(id));
+    }
+    *request.headers_mut() = headers;
+    request
+}
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -2,11 +2,14 @@
 //! `EdgeSettings`, `WireDialect` and `run_edge`.
 
 mod accept;
+mod admit;
 mod body;
 mod connection_pool;
 mod dialect;
 mod directory;
+mod dispatch;
 mod event_splitter;
+mod exchange;
 mod forward;
 mod headers;
 mod metrics;
--- a/gateway/src/edge/relay.rs
+++ b/gateway/src/edge/relay.rs
@@ -10,11 +10,9 @@
 
 use super::body::EdgeBody;
 use super::connection_pool::EndpointConnection;
+use super::dispatch::{DispatchFailure, send_job, silence_limit};
 use super::event_splitter::EventSplitter;
-use super::forward::{
-    DispatchFailure, EndpointAnswer, ForwardJob, is_resumable, log_end, may_go_on, place_job,
-    send_job,
-};
+use super::forward::{EndpointAnswer, ForwardJob, is_resumable, log_end, may_go_on, place_job};
 use super::headers;
 use super::placement::PlacedRun;
 use crate::scheduler::RunEnd;
@@ -150,7 +148,7 @@
         return None;
     }
     if !source.run.has_events() {
-        return super::forward::silence_limit(job);
+        return silence_limit(job);
     }
     Some((job.route.gap_target * STALL_FACTOR).max(LEAST_STALL))
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_channel::oneshot;
 use rand::rngs::SmallRng;
@@ -18,21 +18,12 @@
 use crate::configs::SchedulerSettings;
 use crate::ids::{EndpointId, FastMap, HostAddress, Incarnation, TicketNumber};
 use crate::limits::{RetryBudget, UsageCaps};
-use crate::membership::{
-    BeatNews, FeedDuty, FeedMarks, FeedTopic, HubSummary, HubTally, MemberLine, MemberTable,
-    MemberView, PeerBeat,
-};
+use crate::membership::{FeedDuty, FeedMarks, FeedTopic, HubTally, MemberTable, MemberView};
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
 
 /// Hosts that wait at the store for news; the others ask when these have found some. Two, so that
 /// the loss of one delays nothing.
 const STORE_READERS: usize = 2;
-/// A hub that is silent for longer is left for another: three of its summaries.
-const HUB_SILENCE: Duration = Duration::from_millis(600);
-/// Under this address the sums of a hub are kept, whichever hub sent them.
-const HUB_PEER: HostAddress = HostAddress::V4(std::net::Ipv4Addr::UNSPECIFIED);
-/// Hosts that one beat names, so that a host finds all others from any one.
-const HEARD_PER_BEAT: usize = 8;
 
 pub(crate) struct EdgeState {
     pub catalog: CatalogState,
@@ -41,16 +32,16 @@
     pub budget: RetryBudget,
     pub members: MemberTable,
     pub marks: FeedMarks,
-    tally: HubTally,
+    pub tally: HubTally,
     /// The hub whose summaries count now, and when its last one came.
-    followed_hub: Option<(HostAddress, Instant)>,
-    summary_number: u64,
+    pub followed_hub: Option<(HostAddress, Instant)>,
+    pub summary_number: u64,
     /// A mark moved since the last beat.
     pub marks_moved: bool,
     removals: RemovalHold,
     waiting: FastMap<TicketNumber, oneshot::Sender<Placement>>,
     last_ticket: TicketNumber,
-    beat_number: u64,
+    pub beat_number: u64,
     view: MemberView,
     store_reached: bool,
     /// Endpoints were listed once, so that later ones are new.
@@ -58,13 +49,6 @@
     pub leaving_since: Option<Instant>,
 }
 
-impl EdgeState {
-    fn follows_hub(&self, now: Instant) -> bool {
-        self.followed_hub
-            .is_some_and(|(_, heard)| now.duration_since(heard) <= HUB_SILENCE)
-    }
-}
-
 /// One host: settings, state, connections.
 pub struct Edge {
     pub(crate) settings: EdgeSettings,
@@ -75,7 +59,7 @@
     pub(crate) metrics: RefCell<EdgeMetrics>,
     /// Requests that were read and whose answers are not complete.
     pub(crate) in_flight: Cell<usize>,
-    incarnation: Incarnation,
+    pub(crate) incarnation: Incarnation,
     random: RefCell<SmallRng>,
 }
 
@@ -337,161 +321,6 @@
         self.metrics.borrow_mut().count(name);
     }
 
-    /// Takes a beat of a peer; true when the peer should hear from this host at once.
-    pub(crate) fn note_beat(&self, beat: PeerBeat) -> bool {
-        let now = Instant::now();
-        let (news, direct) = {
-            let state = &mut *self.state.borrow_mut();
-            let news = state.members.note_beat(&beat, now);
-            let follows_hub = state.follows_hub(now);
-            if news != BeatNews::Stale {
-                state.tally.note_beat(&beat, now);
-                state.marks.note_peer(beat.host, beat.marks.clone(), now);
-                if !follows_hub {
-                    let was_silent = news == BeatNews::Appeared;
-                    let caps = &mut state.caps;
-                    caps.note_peer(beat.host, beat.incarnation, &beat.usage, was_silent, now);
-                }
-            }
-            (news, !follows_hub)
-        };
-        if news == BeatNews::Stale {
-            return false;
-        }
-        if news == BeatNews::Appeared {
-            log::info!(peer = beat.host.to_string().as_str(), zone = beat.zone.as_str(), ready = beat.ready; "peer: heard");
-        }
-        if direct {
-            self.schedule(SchedulerEvent::PeerReported {
-                peer: beat.host,
-                reports: beat.loads,
-            });
-        }
-        news == BeatNews::Appeared
-    }
-
-    /// Takes a hub's summary. Of several hubs the first counts; another one takes its place when
-    /// it has been silent.
-    pub(crate) fn note_summary(&self, summary: HubSummary) {
-        let now = Instant::now();
-        {
-            let state = &mut *self.state.borrow_mut();
-            for line in summary.members {
-                state.members.note_line(line, now);
-            }
-            state.marks.note_peer(summary.hub, summary.marks, now);
-            let followed = state
-                .followed_hub
-                .filter(|(_, heard)| now.duration_since(*heard) <= HUB_SILENCE);
-            let first = state.members.hubs(self.settings.cpu_permille, now);
-            let is_first = first.is_some_and(|hubs| hubs.first() == Some(&summary.hub));
-            let current = followed.map(|(hub, _)| hub);
-            if current.is_some_and(|hub| hub != summary.hub) && !is_first {
-                return;
-            }
-            let switched = current != Some(summary.hub);
-            if switched {
-                log::info!(hub = summary.hub.to_string().as_str(); "hub: followed");
-            }
-            state.followed_hub = Some((summary.hub, now));
-            let caps = &mut state.caps;
-            caps.note_peer(HUB_PEER, summary.incarnation, &summary.usage, switched, now);
-        }
-        self.schedule(SchedulerEvent::PeersReplaced {
-            peer: HUB_PEER,
-            reports: summary.loads,
-        });
-    }
-
-    /// Whom the next beat goes to, and whether this host is a hub.
-    pub(crate) fn beat_targets(&self) -> (Vec<HostAddress>, bool) {
-        let now = Instant::now();
-        let state = self.state.borrow();
-        match state.members.hubs(self.settings.cpu_permille, now) {
-            None => (state.members.targets(now), false),
-            Some(hubs) if hubs.contains(&self.settings.host) => {
-                let others = hubs.into_iter().filter(|hub| *hub != self.settings.host);
-                (others.collect(), true)
-            }
-            Some(hubs) => (hubs, false),
-        }
-    }
-
-    /// Whether hubs relay what hosts tell each other.
-    pub(crate) fn is_relayed(&self) -> bool {
-        let state = self.state.borrow();
-        let cpu_permille = self.settings.cpu_permille;
-        state.members.hubs(cpu_permille, Instant::now()).is_some()
-    }
-
-    /// Hosts that get a hub's summaries, those included that have not been heard yet.
-    pub(crate) fn summary_targets(&self) -> Vec<HostAddress> {
-        let state = self.state.borrow();
-        state.members.targets(Instant::now())
-    }
-
-    /// Builds the summary for one host. `members` is the same for all.
-    pub(crate) fn summary_for(
-        &self,
-        receiver: HostAddress,
-        own: &PeerBeat,
-        members: &[MemberLine],
-    ) -> HubSummary {
-        let now = Instant::now();
-        let state = &mut *self.state.borrow_mut();
-        state.tally.note_beat(own, now);
-        state.summary_number += 1;
-        let (loads, usage) = state
-            .tally
-            .without(receiver, |heard| now.duration_since(heard) <= HUB_SILENCE);
-        HubSummary {
-            hub: self.settings.host,
-            incarnation: self.incarnation,
-            number: state.summary_number,
-            loads,
-            usage,
-            marks: state.marks.newest(now),
-            members: members.to_vec(),
-        }
-    }
-
-    /// Lines of all hosts, this one included.
-    pub(crate) fn member_lines(&self, own: &PeerBeat) -> Vec<MemberLine> {
-        let mut lines = self.state.borrow().members.lines(Instant::now());
-        lines.push(MemberLine {
-            host: own.host,
-            zone: own.zone.clone(),
-            incarnation: own.incarnation,
-            number: own.number,
-            ready: own.ready,
-            leaving: own.leaving,
-            cpu_permille: own.cpu_permille,
-        });
-        lines
-    }
-
-    /// Builds the next beat.
-    pub(crate) fn next_beat(&self) -> PeerBeat {
-        let ready = self.is_ready();
-        let now = Instant::now();
-        let state = &mut *self.state.borrow_mut();
-        state.beat_number += 1;
-        PeerBeat {
-            host: self.settings.host,
-            zone: self.settings.zone.clone(),
-            incarnation: self.incarnation,
-            number: state.beat_number,
-            ready,
-            leaving: state.leaving_since.is_some(),
-            cpu_permille: self.settings.cpu_permille,
-            catalog_version: state.catalog.version(),
-            marks: state.marks.own(now),
-            loads: state.scheduler.load_report(),
-            usage: state.caps.reports(),
-            heard: state.members.audible(HEARD_PER_BEAT, now),
-        }
-    }
-
     /// Regular work: time-outs, due removals, the view of the hosts.
     pub(crate) fn tick(&self) {
         let now = Instant::now();
--- a/tests/guarantees.rs
+++ b/tests/guarantees.rs
@@ -19,12 +19,13 @@
         {
             continue;
         }
-        let paths = [root.join("tests").join(file), root.join("src").join(file)];
-        let source = paths
-            .iter()
-            .find_map(|path| std::fs::read_to_string(path).ok());
+        let folders = ["tests", "src", "gateway/tests", "platform/tests"];
+        let paths = folders.map(|folder| root.join(folder).join(file));
         let test = format!("#[test]\nfn {name}()");
-        if !source.is_some_and(|source| source.contains(&test)) {
+        let mut sources = paths
+            .iter()
+            .filter_map(|path| std::fs::read_to_string(path).ok());
+        if !sources.any(|source| source.contains(&test)) {
             missing.push(quoted);
         }
         checked += 1;
