--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -51,6 +51,7 @@
     pub tried: Vec<EndpointId>,
     /// Endpoints that may have run it.
     pub runs: u32,
+    /// Endpoints that it was sent to, or that could not be reached.
     pub dispatches: u32,
     /// Time spent in the queue of this host.
     pub waited: Duration,
@@ -188,8 +189,11 @@
     log::info!(
         id = job.id.as_str(), route = job.route.name.as_str(), status = status.as_u16(), outcome = outcome,
         endpoints = job.tried.join(",").as_str(), runs = job.runs, dispatches = job.dispatches,
-        tier = job_tier(job), route_tier = job.route.tier, prompt = job.usage.unwrap_or_default().0, expected = job.expected_output, waited_ms = job.waited.as_millis(),
-        first_byte_ms = job.first_byte.unwrap_or_default().as_millis(), took_ms = took.as_millis(), config_version = job.edge.catalog_version();
+        tier = job_tier(job), route_tier = job.route.tier,
+        prompt = job.usage.unwrap_or_default().0, expected = job.expected_output,
+        waited_ms = job.waited.as_millis(),
+        first_byte_ms = job.first_byte.unwrap_or_default().as_millis(),
+        took_ms = took.as_millis(), config_version = job.edge.catalog_version();
         "request: ended"
     );
 }
@@ -270,17 +274,16 @@
     allowed && take_repeat(job)
 }
 
+/// Takes one repeat from the budget that all hosts share.
 fn take_repeat(job: &ForwardJob) -> bool {
-    let state = &mut *job.edge.state.borrow_mut();
-    let granted = state.budget.try_repeat(&job.service, Instant::now());
-    drop_count(&job.edge, granted);
-    granted
-}
-
-fn drop_count(edge: &Rc<Edge>, granted: bool) {
+    let granted = {
+        let state = &mut *job.edge.state.borrow_mut();
+        state.budget.try_repeat(&job.service, Instant::now())
+    };
     if !granted {
-        edge.count("retry_budget_empty");
+        job.edge.count("retry_budget_empty");
     }
+    granted
 }
 
 fn final_fault(job: &ForwardJob) -> ForwardFault {
@@ -296,9 +299,8 @@
 /// Reads a whole answer, so that a cut one is noticed before any of it is passed on.
 async fn read_answer(
     job: &mut ForwardJob,
-    answer: EndpointAnswer,
+    mut answer: EndpointAnswer,
 ) -> Result<Response<EdgeBody>, ForwardFault> {
-    let mut answer = answer;
     loop {
         answer.run.note_first_byte();
         job.first_byte = Some(job.arrived.elapsed());
