Count a hub's own beat once a round and build the load report once

Change: begin_summaries counts the beat; take_load_changed tells only whether; PeerBeat::line serves both. No change of behaviour; the test asserts the same.

--- a/gateway/src/edge/exchange.rs
+++ b/gateway/src/edge/exchange.rs
@@ -115,16 +115,18 @@
         state.members.targets(Instant::now())
     }
 
+    /// Counts this host's own beat among those that the next summaries are about.
+    pub(crate) fn begin_summaries(&self) -> PeerBeat {
+        let own = self.next_beat();
+        let state = &mut *self.state.borrow_mut();
+        state.tally.note_beat(&own, Instant::now());
+        own
+    }
+
     /// Builds the summary for one host. `members` is the same for all.
-    pub(crate) fn summary_for(
-        &self,
-        receiver: HostAddress,
-        own: &PeerBeat,
-        members: &[MemberLine],
-    ) -> HubSummary {
+    pub(crate) fn summary_for(&self, receiver: HostAddress, members: &[MemberLine]) -> HubSummary {
         let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
-        state.tally.note_beat(own, now);
         state.summary_number += 1;
         let (loads, usage) = state
             .tally
@@ -143,15 +145,7 @@
     /// Lines of all hosts, this one included.
     pub(crate) fn member_lines(&self, own: &PeerBeat) -> Vec<MemberLine> {
         let mut lines = self.state.borrow().members.lines(Instant::now());
-        lines.push(MemberLine {
-            host: own.host,
-            zone: own.zone.clone(),
-            incarnation: own.incarnation,
-            number: own.number,
-            ready: own.ready,
-            leaving: own.leaving,
-            cpu_permille: own.cpu_permille,
-        });
+        lines.push(own.line());
         lines
     }
 
--- a/gateway/src/edge/peers.rs
+++ b/gateway/src/edge/peers.rs
@@ -33,7 +33,7 @@
         let due = last.is_none_or(|last| last.elapsed() >= BEAT_INTERVAL);
         let changed = {
             let state = &mut *edge.state.borrow_mut();
-            let load = state.scheduler.take_changed_report().is_some();
+            let load = state.scheduler.take_load_changed();
             let usage = state.caps.take_changed();
             let marks = std::mem::take(&mut state.marks_moved);
             load || usage || marks
@@ -72,7 +72,7 @@
         if !is_hub {
             continue;
         }
-        let own = edge.next_beat();
+        let own = edge.begin_summaries();
         let members = if round.is_multiple_of(MEMBERS_EVERY) {
             edge.member_lines(&own)
         } else {
@@ -80,7 +80,7 @@
         };
         round = round.wrapping_add(1);
         for host in edge.summary_targets() {
-            let summary = edge.summary_for(host, &own, &members);
+            let summary = edge.summary_for(host, &members);
             let bytes = PeerMessage::Summary(summary).encode();
             send_one(&edge, &socket, host, bytes).await;
         }
--- a/gateway/src/membership/beat.rs
+++ b/gateway/src/membership/beat.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed_marks::FeedMark;
-use super::hubs::HubSummary;
+use super::hubs::{HubSummary, MemberLine};
 use crate::ids::{HostAddress, Incarnation, ZoneName};
 use crate::limits::UsageReport;
 use crate::scheduler::EndpointReport;
@@ -31,6 +31,22 @@
     pub heard: Vec<HostAddress>,
 }
 
+impl PeerBeat {
+    /// What a hub's summary tells of the sender.
+    #[must_use]
+    pub fn line(&self) -> MemberLine {
+        MemberLine {
+            host: self.host,
+            zone: self.zone.clone(),
+            incarnation: self.incarnation,
+            number: self.number,
+            ready: self.ready,
+            leaving: self.leaving,
+            cpu_permille: self.cpu_permille,
+        }
+    }
+}
+
 /// A datagram between hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -84,16 +84,7 @@
         for host in &beat.heard {
             self.introduce(*host, now);
         }
-        let line = MemberLine {
-            host: beat.host,
-            zone: beat.zone.clone(),
-            incarnation: beat.incarnation,
-            number: beat.number,
-            ready: beat.ready,
-            leaving: beat.leaving,
-            cpu_permille: beat.cpu_permille,
-        };
-        self.note_line(line, now)
+        self.note_line(beat.line(), now)
     }
 
     /// Takes what a host, or a hub that hears it, tells of it.
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -129,16 +129,12 @@
         !self.queue.is_empty()
     }
 
-    #[must_use]
-    pub fn queue_length(&self) -> usize {
-        self.queue.len()
-    }
-
-    /// Own load for the peers, if it changed since the last call.
-    pub fn take_changed_report(&mut self) -> Option<Vec<EndpointReport>> {
-        std::mem::take(&mut self.load_changed).then(|| self.load_report())
+    /// Whether own load changed since the last call.
+    pub fn take_load_changed(&mut self) -> bool {
+        std::mem::take(&mut self.load_changed)
     }
 
+    /// Own load for the peers.
     #[must_use]
     pub fn load_report(&self) -> Vec<EndpointReport> {
         self.endpoints
--- a/gateway/tests/scheduler.rs
+++ b/gateway/tests/scheduler.rs
@@ -170,7 +170,8 @@
 fn peers_load_counts_while_it_is_fresh() {
     let now = Instant::now();
     let mut own = filled(now);
-    let reports = own.take_changed_report().expect("the load changed");
+    assert!(own.take_load_changed());
+    let reports = own.load_report();
     let mut other = scheduler(&[endpoint("e1", "a")], true, now);
     other.reduce(
         SchedulerEvent::PeerReported {
