--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -46,6 +46,9 @@
     /// Hosts that may look at all endpoints for each choice; with more hosts each looks at a part.
     /// Nine hosts that look at all gain from it; 61 and 85 choose the same endpoints.
     pub choices_at_once: f64,
+    /// Factor on the cost of endpoints in other zones, where a fleet is divided by zones: their
+    /// loads are known 0.3 s later, and each token crosses zones.
+    pub far_factor: f64,
     /// How many times a free place is dealt out over all hosts of a large fleet. More than once,
     /// since not every host has a request for it; few of those that collide wait long.
     pub credit_overlap: f64,
@@ -83,6 +86,7 @@
             interference_weight: 0.1,
             decode_weight: 0.25,
             choices_at_once: 12.0,
+            far_factor: 1.3,
             credit_overlap: 2.5,
             refusal_backoff: Duration::from_millis(120),
             plain_noise: 2.0,
--- a/gateway/src/edge/dialect.rs
+++ b/gateway/src/edge/dialect.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use http::HeaderName;
 
+use crate::ids::ZoneName;
+
 /// Header names that have a meaning to the gateway.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -37,6 +39,8 @@
     pub headers: HeaderNames,
     pub readiness_path: &'static str,
     pub directory_path: &'static str,
+    /// Reads the caller's zone from the query of a question for hosts.
+    pub parse_caller_zone: fn(&str) -> Option<ZoneName>,
     /// Encodes the addresses that callers may use, and for how long.
     pub encode_directory: fn(&[SocketAddr], Duration) -> Bytes,
     /// Reads prompt tokens and most output tokens from the usage header.
--- a/gateway/src/edge/directory.rs
+++ b/gateway/src/edge/directory.rs
@@ -25,7 +25,9 @@
     if request.uri().path() != edge.dialect.directory_path {
         return status_reply(StatusCode::NOT_FOUND);
     }
-    let addresses = edge.directory(MOST_ADDRESSES);
+    let query = request.uri().query().unwrap_or_default();
+    let zone = (edge.dialect.parse_caller_zone)(query);
+    let addresses = edge.directory(zone.as_ref(), MOST_ADDRESSES);
     if addresses.is_empty() {
         return status_reply(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/gateway/src/edge/exchange.rs
+++ b/gateway/src/edge/exchange.rs
@@ -3,25 +3,79 @@
 use std::time::Instant;
 
 use super::state::Edge;
-use crate::ids::HostAddress;
+use crate::ids::{FastMap, FastSet, HostAddress, Incarnation, NameHash, ZoneName};
 use crate::membership::{
-    BeatNews, FeedNews, HUB_SILENCE, HubSummary, MemberLine, PeerBeat, SummaryNews,
+    BeatNews, CellDigest, FeedMark, FeedNews, HubSummary, HubTotals, MemberLine, PeerBeat,
+    SummaryNews,
 };
-use crate::scheduler::{PaceReport, SchedulerEvent};
+use crate::scheduler::{EndpointReport, PaceReport, SchedulerEvent};
 
 /// Under this address the loads and runs that a hub sums up are kept, whichever hub sent them.
 const HUB_PEER: HostAddress = HostAddress::V4(std::net::Ipv4Addr::UNSPECIFIED);
 /// Hosts that one beat names, so that a host finds all others from any one.
 const HEARD_PER_BEAT: usize = 8;
 
+/// What is left out of most rounds of summaries.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoundParts {
+    /// Hosts, and the endpoints of other zones; also goes to hosts that follow the other hub.
+    pub whole: bool,
+    pub paces: bool,
+}
+
 /// What one round of a hub's summaries tells every host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SummaryRound {
+    cell: Option<ZoneName>,
+    totals: HubTotals,
+    /// The endpoints that are told of; `None` for all.
+    near: Option<FastSet<NameHash>>,
+    marks: Vec<FeedMark>,
     members: Vec<MemberLine>,
+    alive: Vec<HostAddress>,
     paces: Vec<PaceReport>,
+    /// What this host has read from the store.
+    own_news: Vec<FeedNews>,
+    /// The same and what hubs of other cells have read.
     news: Vec<FeedNews>,
 }
 
+impl SummaryRound {
+    fn is_told(&self, load: &EndpointReport) -> bool {
+        let near = self.near.as_ref();
+        near.is_none_or(|near| near.contains(&load.endpoint))
+    }
+}
+
+/// What a hub told last of hosts of other cells.
+#[derive(Debug, Default)]
+pub(crate) struct ToldMembers {
+    states: FastMap<HostAddress, (Incarnation, bool, bool)>,
+    turn: usize,
+}
+
+impl ToldMembers {
+    /// Picks the lines for the next summaries: those of the own cell, those that changed, and those
+    /// of one other cell in turn. A summary with all hosts of a large fleet would fill the links.
+    fn pick(&mut self, lines: Vec<MemberLine>, cell: Option<&ZoneName>) -> Vec<MemberLine> {
+        let Some(cell) = cell else { return lines };
+        let mut zones: Vec<ZoneName> = lines.iter().map(|line| line.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        self.turn = (self.turn + 1) % zones.len().max(1);
+        let in_turn = zones.get(self.turn).cloned().unwrap_or_default();
+        let mut picked = Vec::new();
+        for line in lines {
+            let state = (line.incarnation, line.ready, line.leaving);
+            let changed = self.states.insert(line.host, state) != Some(state);
+            if changed || line.zone == *cell || line.zone == in_turn {
+                picked.push(line);
+            }
+        }
+        picked
+    }
+}
+
 impl Edge {
     /// Takes a beat of a peer; true when the peer should hear from this host at once.
     pub(crate) fn note_beat(&self, beat: PeerBeat) -> bool {
@@ -57,6 +111,7 @@
             return false;
         }
         if news == BeatNews::Appeared {
+            self.plan_relay(now);
             log::info!(peer = beat.line.host.to_string().as_str(), zone = beat.line.zone.as_str(), ready = beat.line.ready; "peer: heard");
         }
         if !beat.paces.is_empty() {
@@ -76,9 +131,10 @@
         let now = Instant::now();
         {
             let state = &mut *self.state.borrow_mut();
-            let first = state.members.hubs(self.settings.cpu_permille, now);
-            let is_first = first.is_some_and(|hubs| hubs.first() == Some(&summary.hub));
-            let news = state.hub_choice.take(&summary, is_first, now);
+            let is_first = state.plan.preferred(self.settings.host) == Some(summary.hub);
+            let (hub, incarnation) = (summary.hub, summary.incarnation);
+            let choice = &mut state.hub_choice;
+            let news = choice.take(hub, incarnation, summary.number, is_first, now);
             if news == SummaryNews::Overtaken {
                 self.count("summary_overtaken");
                 return;
@@ -89,15 +145,16 @@
             for line in summary.members {
                 state.members.note_line(line, now);
             }
-            state.marks.note_peer(summary.hub, summary.marks, now);
+            state.members.note_alive(&summary.alive, now);
+            state.members.note_itself(hub, now);
+            state.marks.note_peer(hub, summary.marks, now);
             // Usage counts from every hub: the loss of one must not hide any.
-            let (hub, incarnation) = (summary.hub, summary.incarnation);
             state.caps.note_hub(hub, incarnation, &summary.usage, now);
             match news {
                 SummaryNews::Overtaken | SummaryNews::Unused => return,
                 SummaryNews::Followed => {}
                 SummaryNews::Switched => {
-                    log::info!(hub = summary.hub.to_string().as_str(); "hub: followed");
+                    log::info!(hub = hub.to_string().as_str(); "hub: followed");
                 }
             }
             state.rollouts.forget_peers();
@@ -109,52 +166,108 @@
         self.schedule(SchedulerEvent::PeersReplaced {
             peer: HUB_PEER,
             reports: summary.loads,
+            zone: summary.loads_of,
         });
     }
 
-    /// Whom the next beat goes to, and whether this host is a hub.
-    pub(crate) fn beat_targets(&self) -> (Vec<HostAddress>, bool) {
+    /// Takes what a hub of another cell tells of it.
+    pub(crate) fn note_digest(&self, digest: CellDigest) {
         let now = Instant::now();
-        let state = self.state.borrow();
-        match state.members.hubs(self.settings.cpu_permille, now) {
-            None => (state.members.targets(now), false),
-            Some(hubs) if hubs.contains(&self.settings.host) => {
-                let others = hubs.into_iter().filter(|hub| *hub != self.settings.host);
-                (others.collect(), true)
+        {
+            let state = &mut *self.state.borrow_mut();
+            if !state.tally.note_digest(&digest, now) {
+                self.count("digest_overtaken");
+                return;
+            }
+            for line in digest.members {
+                state.members.note_line(line, now);
+            }
+            state.members.note_itself(digest.hub, now);
+            state.marks.note_peer(digest.hub, digest.marks, now);
+            for news in digest.news {
+                state.news_heard.push(news.clone());
+                state.news_to_pass.push(news);
             }
-            Some(hubs) => (hubs, false),
         }
+        if !digest.paces.is_empty() {
+            self.schedule(SchedulerEvent::PacesObserved(digest.paces));
+        }
+    }
+
+    /// Whom the next beat goes to.
+    pub(crate) fn beat_targets(&self) -> Vec<HostAddress> {
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        if !state.plan.is_relayed() {
+            return state.members.targets(now);
+        }
+        let mut targets = state.plan.hubs.clone();
+        if !self.settings.is(&targets) && !state.hub_choice.is_following(now) {
+            targets.extend(state.members.next_called(now));
+            targets.sort_unstable();
+            targets.dedup();
+        }
+        targets.retain(|host| *host != self.settings.host);
+        targets
+    }
+
+    /// Whether this host is a hub.
+    pub(crate) fn is_hub(&self) -> bool {
+        self.settings.is(&self.state.borrow().plan.hubs)
     }
 
     /// Whether hubs relay what hosts tell each other.
     pub(crate) fn is_relayed(&self) -> bool {
-        let state = self.state.borrow();
-        let cpu_permille = self.settings.cpu_permille;
-        state.members.hubs(cpu_permille, Instant::now()).is_some()
+        self.state.borrow().plan.is_relayed()
     }
 
-    /// Hosts that get a hub's summaries, those included that have not been heard yet.
-    pub(crate) fn summary_targets(&self) -> Vec<HostAddress> {
+    /// Hosts that get a hub's next summary. Those that follow the other hub get fewer.
+    pub(crate) fn summary_targets(&self, parts: RoundParts) -> Vec<HostAddress> {
         let state = self.state.borrow();
-        state.members.targets(Instant::now())
+        let cell = state.plan.cell.as_ref();
+        let mut targets = state.members.cell_members(cell, Instant::now());
+        if !parts.whole {
+            targets.retain(|host| state.tally.relies_on(*host, self.settings.host));
+        }
+        targets
+    }
+
+    /// Hubs of other cells, which get this hub's digests.
+    pub(crate) fn digest_targets(&self) -> Vec<HostAddress> {
+        self.state.borrow().plan.other_hubs.clone()
     }
 
     /// Counts this host's own beat among those that the next summaries are about, and collects what
     /// they tell every host.
-    pub(crate) fn begin_summaries(&self, with_members: bool, with_paces: bool) -> SummaryRound {
+    pub(crate) fn begin_summaries(&self, parts: RoundParts) -> SummaryRound {
         let own = self.next_beat();
         let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
         state.tally.note_beat(&own, now);
+        let cell = state.plan.cell.clone();
+        let own_news = state.news_to_tell.take_all();
+        let passed = state.news_to_pass.take_all();
+        let near = cell.as_ref().filter(|_| !parts.whole);
         let mut round = SummaryRound {
-            news: state.news_to_tell.take_all(),
-            ..SummaryRound::default()
+            totals: state.tally.totals(cell.as_ref(), now),
+            near: near.map(|zone| state.scheduler.endpoints_in(zone)),
+            marks: state.marks.newest(now),
+            members: Vec::new(),
+            alive: Vec::new(),
+            paces: Vec::new(),
+            news: own_news.iter().chain(&passed).cloned().collect(),
+            own_news,
+            cell,
         };
-        if with_members {
-            round.members = state.members.lines(now);
-            round.members.push(own.line);
+        if parts.whole {
+            let mut lines = state.members.lines(now);
+            lines.push(own.line);
+            if round.cell.is_some() {
+                round.alive = lines.iter().map(|line| line.host).collect();
+            }
+            round.members = state.told_members.pick(lines, round.cell.as_ref());
         }
-        if with_paces {
+        if parts.paces {
             round.paces = state.scheduler.pace_estimates();
         }
         round
@@ -162,26 +275,51 @@
 
     /// Builds the summary for one host.
     pub(crate) fn summary_for(&self, receiver: HostAddress, round: &SummaryRound) -> HubSummary {
-        let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
         state.summary_number += 1;
-        let sums = state
-            .tally
-            .without(receiver, |heard| now.duration_since(heard) <= HUB_SILENCE);
+        let cell = round.cell.as_ref();
+        let mut sums = state.tally.without(&round.totals, cell, Some(receiver));
+        sums.loads.retain(|load| round.is_told(load));
         HubSummary {
             hub: self.settings.host,
             incarnation: self.incarnation,
             number: state.summary_number,
             loads: sums.loads,
+            loads_of: cell.filter(|_| round.near.is_some()).cloned(),
             usage: sums.usage,
             rollouts: sums.rollouts,
-            marks: state.marks.newest(now),
+            marks: round.marks.clone(),
             members: round.members.clone(),
+            alive: round.alive.clone(),
             paces: round.paces.clone(),
             news: round.news.clone(),
         }
     }
 
+    /// Builds the digest for the hubs of other cells; `None` where there are none.
+    pub(crate) fn digest(&self, round: &SummaryRound) -> Option<CellDigest> {
+        let now = Instant::now();
+        let cell = round.cell.as_ref()?;
+        let state = &mut *self.state.borrow_mut();
+        state.summary_number += 1;
+        let totals = state.tally.cell_totals(Some(cell), now);
+        let sums = state.tally.without(&totals, Some(cell), None);
+        let of_cell = |line: &&MemberLine| line.zone == *cell;
+        Some(CellDigest {
+            cell: cell.clone(),
+            hub: self.settings.host,
+            incarnation: self.incarnation,
+            number: state.summary_number,
+            loads: sums.loads,
+            usage: sums.usage,
+            rollouts: sums.rollouts,
+            marks: round.marks.clone(),
+            members: round.members.iter().filter(of_cell).cloned().collect(),
+            paces: round.paces.clone(),
+            news: round.own_news.clone(),
+        })
+    }
+
     /// Builds the next beat, with what was observed since the last one that was sent.
     pub(crate) fn beat_to_send(&self) -> PeerBeat {
         let mut beat = self.next_beat();
@@ -210,7 +348,24 @@
             paces: Vec::new(),
             usage: state.caps.reports(),
             rollouts: state.rollouts.lines(now),
-            heard: state.members.audible(HEARD_PER_BEAT, now),
+            heard: if state.plan.is_relayed() {
+                Vec::new()
+            } else {
+                state.members.audible(HEARD_PER_BEAT, now)
+            },
+            hubs: Vec::new(),
+            follows: state.hub_choice.followed(now),
         }
     }
+
+    /// Builds the answer to a host that has not been heard before: it names the hubs.
+    pub(crate) fn introduction(&self) -> PeerBeat {
+        let mut beat = self.next_beat();
+        let state = self.state.borrow();
+        let plan = &state.plan;
+        let hubs: Vec<_> = plan.hubs.iter().chain(&plan.other_hubs).copied().collect();
+        beat.hubs = state.members.lines_of(&hubs);
+        beat.heard = state.members.audible(HEARD_PER_BEAT, Instant::now());
+        beat
+    }
 }
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -187,7 +187,8 @@
     let took = job.arrived.elapsed();
     job.edge.metrics.record_request(took, job.waited);
     log::info!(
-        id = job.id.as_str(), route = job.route.name.as_str(), status = status.as_u16(), outcome = outcome,
+        id = job.id.as_str(), workspace = job.workspace.as_ref().map_or("-", |workspace| workspace.name.as_str()),
+        route = job.route.name.as_str(), status = status.as_u16(), outcome = outcome,
         endpoints = job.tried.join(",").as_str(), runs = job.runs, dispatches = job.dispatches,
         tier = job_tier(job), route_tier = job.route.tier,
         prompt = job.usage.unwrap_or_default().0, expected = job.expected_output,
--- a/gateway/src/edge/peers.rs
+++ b/gateway/src/edge/peers.rs
@@ -6,6 +6,7 @@
 
 use compio::net::UdpSocket;
 
+use super::exchange::RoundParts;
 use super::state::Edge;
 use crate::membership::{MOST_DATAGRAM_BYTES, PeerMessage};
 
@@ -18,8 +19,9 @@
 /// Time between two summaries of a hub: 85 hosts at 10 a second are 850 datagrams, 1 to 2 in 100 of
 /// a core.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(100);
-/// Every how manieth summary lists the hosts; twice within the time in which a host counts as cut.
-const MEMBERS_EVERY: u32 = 3;
+/// Every how manieth summary lists the hosts, and goes to hosts that follow the other hub; twice
+/// within the time in which a host counts as cut.
+const WHOLE_EVERY: u32 = 3;
 /// Every how manieth summary tells the endpoints' pace: once a second, since it hardly changes.
 const PACES_EVERY: u32 = 10;
 /// Pause after an error of the socket.
@@ -53,7 +55,7 @@
 
 /// Sends one beat to every host that should have it.
 pub(crate) async fn send_beat(edge: &Rc<Edge>, socket: &UdpSocket) {
-    let (targets, _) = edge.beat_targets();
+    let targets = edge.beat_targets();
     if targets.is_empty() {
         return;
     }
@@ -68,16 +70,22 @@
     let mut round: u32 = 0;
     loop {
         compio::time::sleep(SUMMARY_INTERVAL).await;
-        let (_, is_hub) = edge.beat_targets();
-        if !is_hub {
+        if !edge.is_hub() {
             continue;
         }
-        let told = edge.begin_summaries(
-            round.is_multiple_of(MEMBERS_EVERY),
-            round.is_multiple_of(PACES_EVERY),
-        );
+        let parts = RoundParts {
+            whole: round.is_multiple_of(WHOLE_EVERY),
+            paces: round.is_multiple_of(PACES_EVERY),
+        };
         round = round.wrapping_add(1);
-        for host in edge.summary_targets() {
+        let told = edge.begin_summaries(parts);
+        if let Some(digest) = edge.digest(&told) {
+            let mut bytes = PeerMessage::Digest(digest).encode();
+            for host in edge.digest_targets() {
+                bytes = send_one(&edge, &socket, host, bytes).await;
+            }
+        }
+        for host in edge.summary_targets(parts) {
             let summary = edge.summary_for(host, &told);
             let bytes = PeerMessage::Summary(summary).encode();
             send_one(&edge, &socket, host, bytes).await;
@@ -109,11 +117,12 @@
         match PeerMessage::decode(&buffer[..length]) {
             Some(PeerMessage::Beat(beat)) => {
                 if edge.note_beat(beat) {
-                    let bytes = PeerMessage::Beat(edge.next_beat()).encode();
+                    let bytes = PeerMessage::Beat(edge.introduction()).encode();
                     send_one(&edge, &socket, sender.ip(), bytes).await;
                 }
             }
             Some(PeerMessage::Summary(summary)) => edge.note_summary(summary),
+            Some(PeerMessage::Digest(digest)) => edge.note_digest(digest),
             None => edge.count("beat_unreadable"),
         }
     }
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -33,3 +33,10 @@
     /// Connections that callers may hold open.
     pub max_callers: usize,
 }
+
+impl EdgeSettings {
+    /// Whether this host is among `hosts`.
+    pub(crate) fn is(&self, hosts: &[IpAddr]) -> bool {
+        hosts.contains(&self.host)
+    }
+}
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -11,6 +11,7 @@
 
 use super::connection_pool::ConnectionPool;
 use super::dialect::{CatalogArchive, WireDialect};
+use super::exchange::ToldMembers;
 use super::metrics::{EdgeMetrics, HostGauges};
 use super::placement::Placement;
 use super::settings::EdgeSettings;
@@ -18,11 +19,11 @@
     CatalogChange, CatalogState, ConfigurationImage, EndpointEntry, RETURN_TIME, RemovalHold,
 };
 use crate::configs::SchedulerSettings;
-use crate::ids::{EndpointId, FastMap, HostAddress, Incarnation, TicketNumber};
+use crate::ids::{EndpointId, FastMap, HostAddress, Incarnation, TicketNumber, ZoneName};
 use crate::limits::{RetryBudget, UsageCaps};
 use crate::membership::{
     FeedDuty, FeedMark, FeedMarks, FeedNews, FeedTopic, HubChoice, HubTally, MemberTable,
-    MemberView, NewsQueue,
+    MemberView, NewsQueue, RelayPlan, STORE_READERS, name_hosts,
 };
 use crate::rollouts::RolloutBoard;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
@@ -32,9 +33,6 @@
 const MOST_TOLD_BYTES: usize = 8 * 1024;
 /// Bytes of news that wait for the readers of the topics, which look every 80 ms.
 const MOST_HEARD_BYTES: usize = 64 * 1024;
-/// Hosts that wait at the store for news; the others ask when these have found some. Two, so that
-/// the loss of one delays nothing.
-const STORE_READERS: usize = 2;
 
 pub(crate) struct EdgeState {
     pub catalog: CatalogState,
@@ -44,11 +42,16 @@
     pub rollouts: RolloutBoard,
     pub members: MemberTable,
     pub marks: FeedMarks,
+    /// Whom this host tells what.
+    pub plan: RelayPlan,
     pub tally: HubTally,
+    pub told_members: ToldMembers,
     /// The hub whose summaries count now, and when its last one came.
     pub hub_choice: HubChoice,
     /// What this host, as a hub, has read from the store and not told yet.
     pub news_to_tell: NewsQueue,
+    /// What hubs of other cells have read, to be passed on in the own one.
+    pub news_to_pass: NewsQueue,
     /// What hubs have told and the reader of the topic has not taken yet.
     pub news_heard: NewsQueue,
     pub summary_number: u64,
@@ -101,9 +104,12 @@
             rollouts: RolloutBoard::new(settings.rollout_exposure),
             members,
             marks: FeedMarks::default(),
+            plan: RelayPlan::default(),
             tally: HubTally::default(),
+            told_members: ToldMembers::default(),
             hub_choice: HubChoice::default(),
             news_to_tell: NewsQueue::new(MOST_TOLD_BYTES),
+            news_to_pass: NewsQueue::new(MOST_TOLD_BYTES),
             news_heard: NewsQueue::new(MOST_HEARD_BYTES),
             summary_number: 0,
             marks_moved: false,
@@ -227,10 +233,11 @@
     pub fn feed_duty(&self, topic: FeedTopic, next: u64) -> FeedDuty {
         let now = Instant::now();
         let state = self.state.borrow();
-        let watches = match state.members.hubs(self.settings.cpu_permille, now) {
+        let watches = if state.plan.is_relayed() {
             // Hubs tell all others what they have read.
-            Some(hubs) => hubs.contains(&self.settings.host),
-            None => state.members.has_duty(STORE_READERS, now),
+            self.settings.is(&state.plan.readers)
+        } else {
+            state.members.has_duty(STORE_READERS, now)
         };
         if watches {
             return FeedDuty::Watch;
@@ -244,8 +251,7 @@
 
     /// Passes on what this host has read from the store, if others rely on it.
     pub fn tell_news(&self, news: FeedNews) {
-        let (_, is_hub) = self.beat_targets();
-        if is_hub {
+        if self.is_hub() {
             self.state.borrow_mut().news_to_tell.push(news);
         }
     }
@@ -268,12 +274,51 @@
         state.marks.note_failed(Instant::now());
     }
 
-    /// Adds a host that registered itself.
-    pub fn introduce_host(&self, host: HostAddress) {
-        self.state
-            .borrow_mut()
-            .members
-            .introduce(host, Instant::now());
+    /// Adds a host that registered itself with its zone and size; either may be unknown.
+    pub fn introduce_host(&self, host: HostAddress, zone: ZoneName, cpu_permille: u32) {
+        let members = &mut self.state.borrow_mut().members;
+        members.introduce_sized(host, zone, cpu_permille, Instant::now());
+    }
+
+    /// Zone and size of this host, for its registration.
+    #[must_use]
+    pub fn own_size(&self) -> (&ZoneName, u32) {
+        (&self.settings.zone, self.settings.cpu_permille)
+    }
+
+    /// Whether this host should look for others in the store: it finds none that relay to it, or
+    /// it is one that relays and should know of all.
+    #[must_use]
+    pub fn seeks_hosts(&self) -> bool {
+        let state = self.state.borrow();
+        !state.hub_choice.is_following(Instant::now()) || self.settings.is(&state.plan.hubs)
+    }
+
+    /// Works out anew whom this host tells what.
+    pub(super) fn plan_relay(&self, now: Instant) {
+        let settings = &self.settings;
+        let cell = {
+            let state = &mut *self.state.borrow_mut();
+            let plan = state
+                .members
+                .plan(&settings.zone, settings.cpu_permille, now);
+            if plan == state.plan {
+                return;
+            }
+            log::info!(
+                cell = plan.cell.as_deref().unwrap_or("-"), hubs = format!("{:?}", plan.hubs).as_str(),
+                other_hubs = plan.other_hubs.len(), readers = format!("{:?}", plan.readers).as_str();
+                "hubs: plan changed"
+            );
+            let cell = plan.cell.clone();
+            let changed = cell != state.plan.cell;
+            state.plan = plan;
+            if !changed {
+                return;
+            }
+            cell
+        };
+        self.schedule(SchedulerEvent::CellChanged(cell));
     }
 
     /// Takes over what may change while the process runs: seeds and limits. Addresses and the zone
@@ -392,6 +437,7 @@
     /// Regular work: time-outs, due removals, the view of the hosts.
     pub(crate) fn tick(&self) {
         let now = Instant::now();
+        self.plan_relay(now);
         let (due, view_changed, has_waiting) = {
             let state = &mut *self.state.borrow_mut();
             let marks = &state.marks;
@@ -417,10 +463,19 @@
         }
         self.advance_rollouts(now);
         if view_changed {
-            let hosts = self.state.borrow().view.counted.clone();
+            let (hosts, near) = {
+                let state = self.state.borrow();
+                let hosts = state.view.counted.clone();
+                let near = hosts.iter().filter(|host| {
+                    let zone = state.members.zone_of(**host);
+                    zone.is_none_or(|zone| *zone == self.settings.zone)
+                });
+                (hosts.clone(), near.count())
+            };
             self.schedule(SchedulerEvent::HostsChanged {
                 own: self.settings.host,
                 hosts,
+                near,
             });
         }
         if has_waiting {
@@ -428,17 +483,16 @@
         }
     }
 
-    /// Addresses that callers may use: every host that answers, this one first when it does.
-    pub(crate) fn directory(&self, most: usize) -> Vec<SocketAddr> {
+    /// Addresses that a caller of this zone may use: hosts that answer, this one among them.
+    pub(crate) fn directory(&self, zone: Option<&ZoneName>, most: usize) -> Vec<SocketAddr> {
         let now = Instant::now();
         let port = self.settings.callers.port();
-        let own = self.is_ready().then_some(self.settings.callers);
-        let state = self.state.borrow();
-        let peers = state.members.serving(now);
-        own.into_iter()
-            .chain(peers.into_iter().map(|(host, _)| (host, port).into()))
-            .take(most)
-            .collect()
+        let own = (self.settings.host, self.settings.zone.clone());
+        let own = self.is_ready().then_some(own);
+        let peers = self.state.borrow().members.serving(now);
+        let serving = own.into_iter().chain(peers).collect();
+        let named = name_hosts(serving, zone, most, &mut *self.random.borrow_mut());
+        named.into_iter().map(|host| (host, port).into()).collect()
     }
 
     fn install(&self, image: ConfigurationImage, now: Instant) {
--- a/gateway/src/limits/mod.rs
+++ b/gateway/src/limits/mod.rs
@@ -3,6 +3,8 @@
 mod relayed_usage;
 mod retry_budget;
 mod usage_cap;
+mod usage_window;
 
+pub(crate) use relayed_usage::RelayedUsage;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use usage_cap::{CapTolerance, UsageCaps, UsageCount, UsageReport, UsageVerdict};
--- a/gateway/src/limits/relayed_usage.rs
+++ b/gateway/src/limits/relayed_usage.rs
@@ -28,7 +28,7 @@
 /// Follows all hubs at once: the furthest of them counts for each workspace. So the loss of one
 /// hub hides no usage, and what both tell counts once.
 #[derive(Debug, Default)]
-pub(super) struct RelayedUsage {
+pub(crate) struct RelayedUsage {
     hubs: FastMap<HostAddress, HubUsage>,
     counted: FastMap<NameHash, UsageCount>,
 }
--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -4,8 +4,9 @@
 //! peers report. A silent peer may still be serving callers; its equal share of the rate is left
 //! to it, so that hosts that cannot reach each other do not spend the same allowance twice.
 //!
-//! A deployment states how far a cap may be exceeded. While nobody waits for an endpoint, part of
-//! that is given to callers: refusing them would protect no one.
+//! A deployment states how far a cap may be exceeded within a window. While nobody waits for an
+//! endpoint, callers get that too: refusing them would protect no one. A sliding sum keeps what
+//! goes beyond the cap, less a margin for what other hosts have used and not told yet.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::relayed_usage::RelayedUsage;
+use super::usage_window::UsageWindow;
 use crate::catalog::{UsageCap, UsageUnit, WorkspaceEntry};
 use crate::ids::{FastMap, HostAddress, Incarnation, NameHash, WorkspaceName, name_hash};
 
@@ -26,15 +28,30 @@
 pub struct CapTolerance {
     /// Span in which usage is counted.
     pub window: Duration,
-    /// Units in one window beyond the cap.
+    /// Part of what the cap gives in one window by which it may be exceeded.
+    pub overshoot: f64,
+    /// Units in one window beyond that.
     pub units: f64,
 }
 
-/// Part of the tolerated units that is given out evenly over a window. Together with the reserve
-/// it leaves half for what hosts admit before they hear of each other.
-const SPREAD_PART: f64 = 0.35;
-/// Part of the tolerated units that may be given out at once.
-const RESERVE_PART: f64 = 0.15;
+impl CapTolerance {
+    /// Units that may be used beyond a cap within one window.
+    fn extra_units(&self, cap: &UsageCap) -> f64 {
+        let given = cap.rate_per_s * self.window.as_secs_f64() + cap.burst;
+        given * self.overshoot + self.units
+    }
+}
+
+/// Time for which usage of other hosts may be unknown: until a cut, or the silence of a hub, is
+/// noticed.
+const UNTOLD_TIME: Duration = Duration::from_millis(700);
+/// Least part of the units beyond a cap that is left for that.
+const LEAST_MARGIN: f64 = 0.1;
+/// Time over which recent demand is averaged.
+const RECENT_TIME: Duration = Duration::from_secs(2);
+/// Part of the units beyond a cap that a host which has just started takes for used. With what it
+/// leaves, a restart of all hosts grants hardly more than the whole twice in one window.
+const PRESUMED_PART: f64 = 0.75;
 
 /// What one host, or several, used of a cap since a start. Both counts only rise, so that an
 /// overtaken or repeated report changes nothing.
@@ -43,6 +60,8 @@
     pub admitted: u64,
     /// Of `admitted`, what was given back because it did not run anywhere.
     pub returned: u64,
+    /// What was asked for beyond `admitted`.
+    pub refused: u64,
 }
 
 impl UsageCount {
@@ -52,14 +71,16 @@
         Self {
             admitted: self.admitted.saturating_sub(earlier.admitted),
             returned: self.returned.saturating_sub(earlier.returned),
+            refused: self.refused.saturating_sub(earlier.refused),
         }
     }
 
     #[must_use]
     pub fn plus(self, more: Self) -> Self {
         Self {
-            admitted: self.admitted + more.admitted,
-            returned: self.returned + more.returned,
+            admitted: self.admitted.saturating_add(more.admitted),
+            returned: self.returned.saturating_add(more.returned),
+            refused: self.refused.saturating_add(more.refused),
         }
     }
 
@@ -69,6 +90,7 @@
         Self {
             admitted: self.admitted.max(other.admitted),
             returned: self.returned.max(other.returned),
+            refused: self.refused.max(other.refused),
         }
     }
 }
@@ -94,28 +116,45 @@
 struct CapBucket {
     cap: UsageCap,
     level: f64,
-    /// What may be admitted beyond the cap while endpoints are idle.
-    reserve: f64,
+    /// What all hosts are known to have used beyond the cap.
+    extra: UsageWindow,
+    /// Units that all hosts were asked for within `RECENT_TIME` before `filled`, about. While hosts
+    /// don't hear of each other, they may admit as much as they are asked for.
+    asked: f64,
     filled: Instant,
     /// Used by this host since its start.
     count: UsageCount,
 }
 
 impl CapBucket {
+    /// A bucket that starts empty, and as if all that goes beyond the cap had just been used: a
+    /// restart of all hosts grants nothing twice.
+    fn new(cap: UsageCap, tolerance: &CapTolerance, now: Instant) -> Self {
+        let mut extra = UsageWindow::default();
+        extra.add(PRESUMED_PART * tolerance.extra_units(&cap), now);
+        Self {
+            cap,
+            level: 0.0,
+            extra,
+            asked: 0.0,
+            filled: now,
+            count: UsageCount::default(),
+        }
+    }
+
     fn fill(&mut self, tolerance: &CapTolerance, share: f64, now: Instant) {
-        let elapsed = now.duration_since(self.filled).as_secs_f64() * share;
-        self.level = (self.level + elapsed * self.cap.rate_per_s).min(self.cap.burst * share);
-        let spread = SPREAD_PART * tolerance.units / tolerance.window.as_secs_f64();
-        let most = RESERVE_PART * tolerance.units * share;
-        self.reserve = (self.reserve + elapsed * spread).min(most);
+        let elapsed = now.duration_since(self.filled).as_secs_f64();
+        let filled = self.level + elapsed * share * self.cap.rate_per_s;
+        self.level = filled.min(self.cap.burst * share);
+        self.asked *= (-elapsed / RECENT_TIME.as_secs_f64()).exp();
         self.filled = now;
-        self.settle();
+        self.settle(tolerance, share, now);
     }
 
-    /// Takes units from the cap, and what it lacks from the reserve.
-    fn take(&mut self, units: f64) {
+    /// Takes units from the cap, and what it lacks from what may go beyond it.
+    fn take(&mut self, units: f64, tolerance: &CapTolerance, share: f64, now: Instant) {
         self.level -= units;
-        self.settle();
+        self.settle(tolerance, share, now);
     }
 
     /// Takes back what was admitted and did not run.
@@ -123,15 +162,26 @@
         self.level = (self.level + units).min(self.cap.burst);
     }
 
-    /// Pays a debt out of the reserve. Many hosts that admit at once, before they hear of each
-    /// other, leave a debt larger than the reserve; the reserve is of use again when it is paid.
-    fn settle(&mut self) {
+    /// Counts a debt as usage beyond the cap, as far as that is allowed. Many hosts that admit at
+    /// once, before they hear of each other, leave a debt that is more than that.
+    fn settle(&mut self, tolerance: &CapTolerance, share: f64, now: Instant) {
         if self.level < 0.0 {
-            let lacking = (-self.level).min(self.reserve.max(0.0));
-            self.reserve -= lacking;
-            self.level += lacking;
+            let left = self.headroom(tolerance, share, now).max(0.0);
+            let counted = left.min(-self.level);
+            if counted > 0.0 {
+                self.extra.add(counted, now);
+                self.level += counted;
+            }
         }
     }
+
+    /// Units beyond the cap that may still be used, by this host and those that it hears.
+    fn headroom(&mut self, tolerance: &CapTolerance, share: f64, now: Instant) -> f64 {
+        let most = tolerance.extra_units(&self.cap) * share;
+        let untold = self.asked / RECENT_TIME.as_secs_f64() * UNTOLD_TIME.as_secs_f64();
+        let margin = untold.max(LEAST_MARGIN * most);
+        most - margin - self.extra.sum(tolerance.window, now)
+    }
 }
 
 #[derive(Debug)]
@@ -184,13 +234,8 @@
                 continue;
             }
             self.names.insert(name_hash(&name), name.clone());
-            let mut bucket = previous.remove(&name).unwrap_or(CapBucket {
-                cap,
-                level: 0.0,
-                reserve: 0.0,
-                filled: now,
-                count: UsageCount::default(),
-            });
+            let previous = previous.remove(&name);
+            let mut bucket = previous.unwrap_or_else(|| CapBucket::new(cap, &self.tolerance, now));
             bucket.fill(&self.tolerance, self.share, now);
             bucket.cap = cap;
             bucket.level = bucket.level.min(cap.burst);
@@ -214,7 +259,12 @@
             if bucket.level > 0.0 {
                 bucket.level *= kept;
             }
-            bucket.reserve *= kept;
+            // What was left to silent hosts may have been used by them.
+            let regained = (share - self.share).max(0.0);
+            if regained > 0.0 {
+                let presumed = regained * self.tolerance.extra_units(&bucket.cap);
+                bucket.extra.add(presumed, now);
+            }
         }
         self.share = share;
     }
@@ -234,19 +284,22 @@
         };
         bucket.fill(&tolerance, share, now);
         let cost = cost_of(&bucket.cap, tokens);
+        let (units, cost) = (u64::from(cost), f64::from(cost));
+        bucket.asked += cost;
+        self.changed = true;
         let within = bucket.level > 0.0;
-        if !(within || idle && bucket.reserve >= f64::from(cost)) {
+        let headroom = bucket.headroom(&tolerance, share, now);
+        if !(within || idle && headroom >= cost) {
             let rate = (bucket.cap.rate_per_s * share).max(1.0);
-            let lacking = f64::from(cost) - bucket.level;
-            let wait = Duration::from_secs_f64((lacking / rate).clamp(0.0, 60.0));
+            let wait = Duration::from_secs_f64(((cost - bucket.level) / rate).clamp(0.0, 60.0));
             let retry_after = wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER);
             #[expect(clippy::cast_possible_truncation, reason = "for the log")]
             let level = bucket.level as i64;
+            bucket.count.refused += units;
             return UsageVerdict::Refused { retry_after, level };
         }
-        bucket.take(f64::from(cost));
-        bucket.count.admitted += u64::from(cost);
-        self.changed = true;
+        bucket.take(cost, &tolerance, share, now);
+        bucket.count.admitted += units;
         UsageVerdict::Admitted
     }
 
@@ -324,8 +377,10 @@
         if let Some(bucket) = name.and_then(|name| self.buckets.get_mut(name)) {
             bucket.fill(&self.tolerance, self.share, now);
             #[expect(clippy::cast_precision_loss, reason = "tokens of a short time")]
-            let (admitted, returned) = (more.admitted as f64, more.returned as f64);
-            bucket.take(admitted);
+            let [admitted, returned, refused] =
+                [more.admitted, more.returned, more.refused].map(|units| units as f64);
+            bucket.asked += admitted + refused;
+            bucket.take(admitted, &self.tolerance, self.share, now);
             bucket.refund(returned);
         }
     }
@@ -340,7 +395,7 @@
         let used = self
             .buckets
             .iter()
-            .filter(|(_, bucket)| bucket.count.admitted > 0);
+            .filter(|(_, bucket)| bucket.count != UsageCount::default());
         used.map(|(name, bucket)| UsageReport {
             workspace: name_hash(name),
             count: bucket.count,
--- a/gateway/src/membership/beat.rs
+++ b/gateway/src/membership/beat.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed_marks::FeedMark;
-use super::hubs::{HubSummary, MemberLine};
+use super::hubs::{CellDigest, HubSummary, MemberLine};
 use crate::ids::HostAddress;
 use crate::limits::UsageReport;
 use crate::rollouts::RolloutLine;
@@ -23,6 +23,10 @@
     pub rollouts: Vec<RolloutLine>,
     /// A few other hosts that the sender hears, so that a host finds all from any one.
     pub heard: Vec<HostAddress>,
+    /// Hubs that the sender knows, in an answer to a host that has not been heard before.
+    pub hubs: Vec<MemberLine>,
+    /// The hub whose loads the sender uses; the others tell it less often.
+    pub follows: Option<HostAddress>,
 }
 
 /// Largest datagram that is read: near the most that UDP carries.
@@ -33,6 +37,7 @@
 pub enum PeerMessage {
     Beat(PeerBeat),
     Summary(HubSummary),
+    Digest(CellDigest),
 }
 
 impl PeerMessage {
--- a/gateway/src/membership/hub_choice.rs
+++ b/gateway/src/membership/hub_choice.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use super::hubs::HubSummary;
 use crate::ids::{FastMap, HostAddress, Incarnation};
 
 /// A hub that is silent for longer is left for another: six of its summaries.
@@ -47,26 +46,39 @@
         (now.duration_since(heard) <= HUB_SILENCE).then_some(hub)
     }
 
-    /// Decides on a summary. Of several hubs the first counts; another one takes its place while
-    /// it is silent.
-    pub fn take(&mut self, summary: &HubSummary, is_first: bool, now: Instant) -> SummaryNews {
+    /// The hub whose loads count now.
+    #[must_use]
+    pub fn followed(&self, now: Instant) -> Option<HostAddress> {
+        self.current(now)
+    }
+
+    /// Decides on what a hub tells with this number. Of several hubs the first counts; another one
+    /// takes its place while it is silent.
+    pub fn take(
+        &mut self,
+        hub: HostAddress,
+        incarnation: Incarnation,
+        number: u64,
+        is_first: bool,
+        now: Instant,
+    ) -> SummaryNews {
         let mark = SummaryMark {
-            incarnation: summary.incarnation,
-            number: summary.number,
+            incarnation,
+            number,
         };
-        let last = self.newest.get(&summary.hub);
+        let last = self.newest.get(&hub);
         if last
             .is_some_and(|last| last.incarnation == mark.incarnation && last.number >= mark.number)
         {
             return SummaryNews::Overtaken;
         }
-        self.newest.insert(summary.hub, mark);
+        self.newest.insert(hub, mark);
         let current = self.current(now);
-        if current.is_some_and(|hub| hub != summary.hub) && !is_first {
+        if current.is_some_and(|current| current != hub) && !is_first {
             return SummaryNews::Unused;
         }
-        self.followed = Some((summary.hub, now));
-        if current == Some(summary.hub) {
+        self.followed = Some((hub, now));
+        if current == Some(hub) {
             SummaryNews::Followed
         } else {
             SummaryNews::Switched
--- a/gateway/src/membership/hubs.rs
+++ b/gateway/src/membership/hubs.rs
@@ -1,9 +1,8 @@
-//! Relays what hosts tell each other, where they are too many to tell each other directly.
+//! What hubs collect of the hosts of their cell and of other cells, and what they tell of it.
 //!
-//! In a fleet of more than `DIRECT_HOSTS` hosts every host sends its beats to two hubs only, and a
-//! hub sends every host a summary of all the others. Any host can be a hub; the largest are taken.
-//! Both hubs know everything, so the loss of one is bridged at once, and a third host takes its
-//! place as soon as its silence is noticed.
+//! Any host can be a hub; `relay_plan.rs` says which are. Both hubs of a cell know everything, so
+//! the loss of one is bridged at once, and a third host takes its place as soon as its silence is
+//! noticed.
 
 use std::time::Instant;
 
@@ -12,9 +11,9 @@
 use super::beat::PeerBeat;
 use super::feed_marks::FeedMark;
 use super::feed_news::FeedNews;
-use super::hub_choice::HUB_SILENCE;
+use super::hub_choice::{HUB_SILENCE, HubChoice, SummaryNews};
 use crate::ids::{FastMap, HostAddress, Incarnation, NameHash, ZoneName};
-use crate::limits::{UsageCount, UsageReport};
+use crate::limits::{RelayedUsage, UsageCount, UsageReport};
 use crate::rollouts::{RolloutLine, merge_lines};
 use crate::scheduler::{EndpointReport, PaceReport};
 
@@ -47,16 +46,39 @@
     pub number: u64,
     /// Load of all hosts but the receiver.
     pub loads: Vec<EndpointReport>,
+    /// The zone whose endpoints `loads` are about; `None` for all endpoints.
+    pub loads_of: Option<ZoneName>,
     /// Usage of all hosts but the receiver, since the hub began to count.
     pub usage: Vec<UsageReport>,
     /// Rollouts as all hosts but the receiver see them.
     pub rollouts: Vec<RolloutLine>,
     pub marks: Vec<FeedMark>,
-    /// Hosts that the hub hears; left out of most summaries.
+    /// Hosts that the hub hears; left out of most summaries. Of other cells only what changed, and
+    /// a part in turn.
     pub members: Vec<MemberLine>,
+    /// All hosts that the hub, or one of another cell, hears; left out of most summaries.
+    pub alive: Vec<HostAddress>,
     /// What the hub knows of endpoints' pace; left out of most summaries.
     pub paces: Vec<PaceReport>,
-    /// What the hub has read from the store since its last summaries.
+    /// What was read from the store since the hub's last summaries.
+    pub news: Vec<FeedNews>,
+}
+
+/// What a hub tells the hubs of other cells of its own cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellDigest {
+    pub cell: ZoneName,
+    pub hub: HostAddress,
+    pub incarnation: Incarnation,
+    pub number: u64,
+    pub loads: Vec<EndpointReport>,
+    pub usage: Vec<UsageReport>,
+    pub rollouts: Vec<RolloutLine>,
+    pub marks: Vec<FeedMark>,
+    /// Hosts of the cell; left out of most digests.
+    pub members: Vec<MemberLine>,
+    pub paces: Vec<PaceReport>,
+    /// What the hub itself has read from the store.
     pub news: Vec<FeedNews>,
 }
 
@@ -64,13 +86,25 @@
 #[derive(Debug)]
 struct HostTally {
     incarnation: Incarnation,
+    zone: ZoneName,
     loads: Vec<EndpointReport>,
     rollouts: Vec<RolloutLine>,
     last: FastMap<NameHash, UsageCount>,
     used: FastMap<NameHash, UsageCount>,
+    follows: Option<HostAddress>,
     heard: Instant,
 }
 
+/// What the hubs of another cell told.
+#[derive(Debug, Default)]
+struct CellTally {
+    choice: HubChoice,
+    loads: Vec<EndpointReport>,
+    rollouts: Vec<RolloutLine>,
+    relayed: RelayedUsage,
+    used: FastMap<NameHash, UsageCount>,
+}
+
 /// Sums over many hosts.
 #[derive(Debug)]
 pub struct HubSums {
@@ -79,10 +113,40 @@
     pub rollouts: Vec<RolloutLine>,
 }
 
+/// Sums over all hosts at one moment, out of which those without one host are taken.
+#[derive(Debug, Default)]
+pub struct HubTotals {
+    loads: FastMap<NameHash, EndpointReport>,
+    usage: FastMap<NameHash, UsageCount>,
+    /// Of other cells; those of the own one are summed for each receiver.
+    other_rollouts: Vec<RolloutLine>,
+    now: Option<Instant>,
+}
+
+impl HubTotals {
+    fn add_load(&mut self, report: &EndpointReport) {
+        let sum = self.loads.entry(report.endpoint).or_insert(EndpointReport {
+            endpoint: report.endpoint,
+            active: 0,
+            unread_tokens: 0,
+        });
+        sum.active = sum.active.saturating_add(report.active);
+        sum.unread_tokens = sum.unread_tokens.saturating_add(report.unread_tokens);
+    }
+
+    fn add_usage(&mut self, used: &FastMap<NameHash, UsageCount>) {
+        for (workspace, count) in used {
+            let sum = self.usage.entry(*workspace).or_default();
+            *sum = sum.plus(*count);
+        }
+    }
+}
+
 /// Sums of what all hosts told.
 #[derive(Debug, Default)]
 pub struct HubTally {
     hosts: FastMap<HostAddress, HostTally>,
+    cells: FastMap<ZoneName, CellTally>,
 }
 
 impl HubTally {
@@ -92,6 +156,7 @@
             .entry(beat.line.host)
             .or_insert_with(|| HostTally {
                 incarnation: beat.line.incarnation,
+                zone: beat.line.zone.clone(),
                 loads: Vec::new(),
                 rollouts: Vec::new(),
                 last: beat
@@ -100,6 +165,7 @@
                     .map(|report| (report.workspace, report.count))
                     .collect(),
                 used: FastMap::default(),
+                follows: None,
                 heard: now,
             });
         if tally.incarnation != beat.line.incarnation {
@@ -122,43 +188,125 @@
         }
         tally.loads.clone_from(&beat.loads);
         tally.rollouts.clone_from(&beat.rollouts);
+        tally.follows = beat.follows;
         tally.heard = now;
     }
 
-    /// Sums over all hosts but `receiver`; loads of silent hosts are left out.
+    /// Whether a host uses the loads that `hub` tells, or those of none yet.
+    #[must_use]
+    pub fn relies_on(&self, host: HostAddress, hub: HostAddress) -> bool {
+        let tally = self.hosts.get(&host);
+        tally.is_some_and(|tally| tally.follows.is_none_or(|followed| followed == hub))
+    }
+
+    /// Takes what a hub of another cell tells of it. Its usage counts from every hub of that cell,
+    /// its loads from the one that was heard first, while it is heard. False for a digest that was
+    /// overtaken.
+    pub fn note_digest(&mut self, digest: &CellDigest, now: Instant) -> bool {
+        let cell = self.cells.entry(digest.cell.clone()).or_default();
+        let news = cell
+            .choice
+            .take(digest.hub, digest.incarnation, digest.number, false, now);
+        if news == SummaryNews::Overtaken {
+            return false;
+        }
+        let usage = cell
+            .relayed
+            .note(digest.hub, digest.incarnation, &digest.usage, now);
+        for (workspace, more) in usage {
+            let used = cell.used.entry(workspace).or_default();
+            *used = used.plus(more);
+        }
+        if news != SummaryNews::Unused {
+            cell.loads.clone_from(&digest.loads);
+            cell.rollouts.clone_from(&digest.rollouts);
+        }
+        true
+    }
+
+    /// Sums over the hosts of the own cell and over the other cells; loads of silent ones are left
+    /// out. In a fleet of one cell, `cell` is `None`.
     #[must_use]
-    pub fn without(&self, receiver: HostAddress, is_heard: impl Fn(Instant) -> bool) -> HubSums {
-        let mut loads: FastMap<NameHash, EndpointReport> = FastMap::default();
-        let mut usage: FastMap<NameHash, UsageCount> = FastMap::default();
-        for (host, tally) in &self.hosts {
-            if *host == receiver {
+    pub fn totals(&self, cell: Option<&ZoneName>, now: Instant) -> HubTotals {
+        let mut totals = self.cell_totals(cell, now);
+        for (zone, tally) in &self.cells {
+            if cell.is_none_or(|own| own == zone) {
                 continue;
             }
-            for (workspace, used) in &tally.used {
-                let sum = usage.entry(*workspace).or_default();
-                *sum = sum.plus(*used);
+            totals.add_usage(&tally.used);
+            if tally.choice.is_following(now) {
+                tally.loads.iter().for_each(|load| totals.add_load(load));
+                totals.other_rollouts.extend(&tally.rollouts);
             }
-            if !is_heard(tally.heard) {
-                continue;
-            }
-            for report in &tally.loads {
-                let sum = loads.entry(report.endpoint).or_insert(EndpointReport {
-                    endpoint: report.endpoint,
-                    active: 0,
-                    unread_tokens: 0,
-                });
-                sum.active = sum.active.saturating_add(report.active);
-                sum.unread_tokens = sum.unread_tokens.saturating_add(report.unread_tokens);
+        }
+        totals
+    }
+
+    /// Sums over the hosts of the own cell alone, for the hubs of other cells.
+    #[must_use]
+    pub fn cell_totals(&self, cell: Option<&ZoneName>, now: Instant) -> HubTotals {
+        let mut totals = HubTotals {
+            now: Some(now),
+            ..HubTotals::default()
+        };
+        for tally in self.cell_hosts(cell) {
+            totals.add_usage(&tally.used);
+            if now.saturating_duration_since(tally.heard) <= HUB_SILENCE {
+                tally.loads.iter().for_each(|load| totals.add_load(load));
             }
         }
-        let usage = usage
-            .into_iter()
-            .map(|(workspace, count)| UsageReport { workspace, count });
-        let others = self.hosts.iter().filter(|(host, _)| **host != receiver);
+        totals
+    }
+
+    fn cell_hosts<'a>(
+        &'a self,
+        cell: Option<&'a ZoneName>,
+    ) -> impl Iterator<Item = &'a HostTally> + 'a {
+        let hosts = self.hosts.values();
+        hosts.filter(move |tally| cell.is_none_or(|cell| *cell == tally.zone))
+    }
+
+    /// Takes one host's own part out of the totals.
+    #[must_use]
+    pub fn without(
+        &self,
+        totals: &HubTotals,
+        cell: Option<&ZoneName>,
+        receiver: Option<HostAddress>,
+    ) -> HubSums {
+        let own = receiver.and_then(|receiver| self.hosts.get(&receiver));
+        let own = own.filter(|own| cell.is_none_or(|cell| *cell == own.zone));
+        let heard = own.filter(|own| {
+            totals
+                .now
+                .is_some_and(|now| now.saturating_duration_since(own.heard) <= HUB_SILENCE)
+        });
+        let own_loads = heard.map_or(&[][..], |own| &own.loads);
+        let loads = totals.loads.values().filter_map(|sum| {
+            let own = own_loads.iter().find(|load| load.endpoint == sum.endpoint);
+            let (active, unread) = own.map_or((0, 0), |own| (own.active, own.unread_tokens));
+            let left = EndpointReport {
+                endpoint: sum.endpoint,
+                active: sum.active.saturating_sub(active),
+                unread_tokens: sum.unread_tokens.saturating_sub(unread),
+            };
+            (left.active > 0 || left.unread_tokens > 0).then_some(left)
+        });
+        let usage = totals.usage.iter().map(|(workspace, sum)| {
+            let own = own.and_then(|own| own.used.get(workspace));
+            UsageReport {
+                workspace: *workspace,
+                count: sum.since(own.copied().unwrap_or_default()),
+            }
+        });
+        let others = self
+            .cell_hosts(cell)
+            .filter(|tally| own.is_none_or(|own| !std::ptr::eq::<HostTally>(own, *tally)));
+        let lines = others.flat_map(|tally| &tally.rollouts);
         HubSums {
-            loads: loads.into_values().collect(),
+            loads: loads.collect(),
             usage: usage.collect(),
-            rollouts: merge_lines(others.flat_map(|(_, tally)| &tally.rollouts)),
+            rollouts: merge_lines(lines.chain(&totals.other_rollouts)),
         }
     }
 }
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::beat::PeerBeat;
-use super::hubs::{DIRECT_HOSTS, HUBS, MemberLine};
+use super::hubs::MemberLine;
+use super::relay_plan::{RelayCandidate, RelayPlan};
 use crate::ids::{FastMap, HostAddress, ZoneName};
 
 /// A host that is silent for longer is not named to callers: eight missed beats. Callers must
@@ -16,12 +17,24 @@
 const UNHEARD_LIMIT: Duration = Duration::from_secs(30);
 /// After this silence a host counts as gone for good, if most hosts can be heard.
 const GONE_AFTER: Duration = Duration::from_secs(15);
+/// A hub that was mute for longer may be relied on again.
+const MUTE_PAUSE: Duration = Duration::from_secs(5);
+/// When one in so many hosts was heard, those that were not are silent themselves. One datagram of
+/// another host, which may have come past the hubs, says nothing yet.
+const FRESH_PART: usize = 4;
+/// Hosts that are called beside the hubs while none is followed: enough to find one, and bounded
+/// whatever the size of the fleet.
+const MOST_CALLED: usize = 4;
 
 #[derive(Debug)]
 struct MemberEntry {
     /// What was told last; of a host that was never heard only the address is known.
     line: MemberLine,
     heard: Option<Instant>,
+    /// When its last own datagram came; hubs tell of it more often.
+    heard_itself: Option<Instant>,
+    /// Since when this host relies on it as a hub.
+    relied_since: Option<Instant>,
     introduced: Instant,
 }
 
@@ -48,6 +61,8 @@
 pub struct MemberTable {
     own: HostAddress,
     members: FastMap<HostAddress, MemberEntry>,
+    /// Where the next calls of hosts begin that may know a hub.
+    next_called: usize,
 }
 
 impl MemberTable {
@@ -56,15 +71,27 @@
         Self {
             own,
             members: FastMap::default(),
+            next_called: 0,
         }
     }
 
     /// Adds a host that is known by its address only.
     pub fn introduce(&mut self, host: HostAddress, now: Instant) {
+        self.introduce_sized(host, ZoneName::default(), 0, now);
+    }
+
+    /// Adds a host that has registered itself with its zone and size, in thousandths of a core.
+    pub fn introduce_sized(
+        &mut self,
+        host: HostAddress,
+        zone: ZoneName,
+        cpu_permille: u32,
+        now: Instant,
+    ) {
         if host == self.own {
             return;
         }
-        self.members.entry(host).or_insert_with(|| MemberEntry {
+        let member = self.members.entry(host).or_insert_with(|| MemberEntry {
             line: MemberLine {
                 host,
                 zone: ZoneName::default(),
@@ -75,17 +102,34 @@
                 cpu_permille: 0,
             },
             heard: None,
+            heard_itself: None,
+            relied_since: None,
             introduced: now,
         });
+        if member.heard.is_none() && !zone.is_empty() {
+            member.line.zone = zone;
+            member.line.cpu_permille = cpu_permille;
+        }
     }
 
     pub fn note_beat(&mut self, beat: &PeerBeat, now: Instant) -> BeatNews {
         for host in &beat.heard {
             self.introduce(*host, now);
         }
+        for line in &beat.hubs {
+            self.introduce_sized(line.host, line.zone.clone(), line.cpu_permille, now);
+        }
+        self.note_itself(beat.line.host, now);
         self.note_line(beat.line.clone(), now)
     }
 
+    /// A datagram of a host came.
+    pub fn note_itself(&mut self, host: HostAddress, now: Instant) {
+        if let Some(member) = self.members.get_mut(&host) {
+            member.heard_itself = Some(now);
+        }
+    }
+
     /// Takes what a host, or a hub that hears it, tells of it.
     pub fn note_line(&mut self, line: MemberLine, now: Instant) -> BeatNews {
         if line.host == self.own {
@@ -104,11 +148,26 @@
         } else {
             BeatNews::Appeared
         };
+        if member.heard.is_none() {
+            // It may be the very datagram that introduced it.
+            member.heard_itself = Some(now);
+        }
         member.line = line;
         member.heard = Some(now);
         news
     }
 
+    /// A hub of its cell still hears these hosts.
+    pub fn note_alive(&mut self, hosts: &[HostAddress], now: Instant) {
+        for host in hosts {
+            if let Some(member) = self.members.get_mut(host)
+                && member.heard.is_some()
+            {
+                member.heard = Some(now);
+            }
+        }
+    }
+
     /// Hosts that are heard, for a summary.
     #[must_use]
     pub fn lines(&self, now: Instant) -> Vec<MemberLine> {
@@ -119,41 +178,97 @@
         heard.map(|member| member.line.clone()).collect()
     }
 
-    /// The hosts that relay, the first one first; `None` while all tell each other directly.
+    /// Works out whom this host tells what, and notes on which hubs it relies.
     ///
-    /// `own_cpu_permille`: size of this host. The largest hosts come first.
-    #[must_use]
-    pub fn hubs(&self, own_cpu_permille: u32, now: Instant) -> Option<Vec<HostAddress>> {
-        let heard = self.members.iter().filter(|(_, member)| {
-            !member.line.leaving && is_heard_within(member, CUT_SUSPICION, now)
-        });
-        let mut ranked: Vec<_> = heard
-            .map(|(host, member)| (std::cmp::Reverse(member.line.cpu_permille), *host))
+    /// `own_cpu_permille`: size of this host.
+    pub fn plan(&mut self, own_zone: &ZoneName, own_cpu_permille: u32, now: Instant) -> RelayPlan {
+        let fresh_since = self.fresh_since(now);
+        let mut known: Vec<RelayCandidate> = self
+            .members
+            .iter()
+            .filter(|(_, member)| !member.line.leaving && is_recent(member, now))
+            .map(|(host, member)| RelayCandidate {
+                host: *host,
+                zone: member.line.zone.clone(),
+                cpu_permille: member.line.cpu_permille,
+                eligible: !is_silent_beside(member, fresh_since) && !is_mute_hub(member, now),
+            })
             .collect();
-        if ranked.len() < DIRECT_HOSTS {
+        known.push(RelayCandidate {
+            host: self.own,
+            zone: own_zone.clone(),
+            cpu_permille: own_cpu_permille,
+            eligible: true,
+        });
+        let plan = RelayPlan::new(self.own, own_zone, &known);
+        let is_hub = plan.hubs.contains(&self.own);
+        for (host, member) in &mut self.members {
+            let relied = plan.hubs.contains(host) || is_hub && plan.other_hubs.contains(host);
+            if relied {
+                member.relied_since.get_or_insert(now);
+            } else if !is_mute_hub(member, now) || hub_silence(member, now) > MUTE_PAUSE {
+                member.relied_since = None;
+            }
+        }
+        plan
+    }
+
+    /// Since when many hosts have been heard, so that a host that wasn't is silent itself.
+    fn fresh_since(&self, now: Instant) -> Option<Instant> {
+        let recent = self
+            .members
+            .values()
+            .filter(|member| is_recent(member, now));
+        let mut heard: Vec<_> = recent.map(heard_or_named).collect();
+        let many = heard.len() / FRESH_PART;
+        if heard.is_empty() {
             return None;
         }
-        ranked.push((std::cmp::Reverse(own_cpu_permille), self.own));
-        ranked.sort_unstable();
-        Some(
-            ranked
-                .into_iter()
-                .take(HUBS)
-                .map(|(_, host)| host)
-                .collect(),
-        )
-    }
-
-    /// Hosts to which beats go.
+        let (_, since, _) = heard.select_nth_unstable_by(many, |a, b| b.cmp(a));
+        Some(*since)
+    }
+
+    /// Hosts to which beats go while all tell each other directly: few by definition.
     #[must_use]
     pub fn targets(&self, now: Instant) -> Vec<HostAddress> {
+        let wanted = self
+            .members
+            .iter()
+            .filter(|(_, member)| is_recent(member, now));
+        wanted.map(|(host, _)| *host).collect()
+    }
+
+    /// Hosts of a cell that get a hub's summaries, those included that have not been heard yet.
+    #[must_use]
+    pub fn cell_members(&self, cell: Option<&ZoneName>, now: Instant) -> Vec<HostAddress> {
         let wanted = self.members.iter().filter(|(_, member)| {
-            let since = member.heard.unwrap_or(member.introduced);
-            now.duration_since(since) <= UNHEARD_LIMIT
+            is_recent(member, now) && cell.is_none_or(|cell| *cell == member.line.zone)
         });
         wanted.map(|(host, _)| *host).collect()
     }
 
+    /// A few hosts that may know a hub, others each time.
+    pub fn next_called(&mut self, now: Instant) -> Vec<HostAddress> {
+        let mut known = self.targets(now);
+        known.sort_unstable();
+        let count = known.len();
+        let start = self.next_called;
+        self.next_called = start.wrapping_add(MOST_CALLED);
+        let called = (0..count.min(MOST_CALLED)).map(|step| known[(start + step) % count]);
+        called.collect()
+    }
+
+    /// The hosts that relay in a zone, as lines that introduce them.
+    #[must_use]
+    pub fn lines_of(&self, hosts: &[HostAddress]) -> Vec<MemberLine> {
+        let known = hosts.iter().filter_map(|host| self.members.get(host));
+        known.map(|member| member.line.clone()).collect()
+    }
+
+    #[must_use]
+    pub fn zone_of(&self, host: HostAddress) -> Option<&ZoneName> {
+        self.members.get(&host).map(|member| &member.line.zone)
+    }
     /// Hosts that answer callers, with their zones; this one is not among them.
     #[must_use]
     pub fn serving(&self, now: Instant) -> Vec<(HostAddress, ZoneName)> {
@@ -219,6 +334,35 @@
     }
 }
 
+/// Whether a host was heard, or named, within the time in which it may still be starting.
+fn is_recent(member: &MemberEntry, now: Instant) -> bool {
+    now.duration_since(heard_or_named(member)) <= UNHEARD_LIMIT
+}
+
+/// Whether many others were heard later, by a time in which it would have been heard too. When a
+/// hub falls silent all its hosts do, and all stay eligible.
+fn is_silent_beside(member: &MemberEntry, fresh_since: Option<Instant>) -> bool {
+    let heard = heard_or_named(member);
+    fresh_since.is_some_and(|since| since.saturating_duration_since(heard) > CUT_SUSPICION)
+}
+
+/// Whether this host relies on it and hears nothing of it.
+fn is_mute_hub(member: &MemberEntry, now: Instant) -> bool {
+    hub_silence(member, now) > CUT_SUSPICION
+}
+
+/// For how long this host has relied on it and heard nothing of it.
+fn hub_silence(member: &MemberEntry, now: Instant) -> Duration {
+    member.relied_since.map_or(Duration::ZERO, |since| {
+        let last = member.heard_itself.map_or(since, |heard| heard.max(since));
+        now.saturating_duration_since(last)
+    })
+}
+
+fn heard_or_named(member: &MemberEntry) -> Instant {
+    member.heard.unwrap_or(member.introduced)
+}
+
 fn is_audible(member: &MemberEntry, now: Instant) -> bool {
     is_heard_within(member, SILENCE_LIMIT, now)
 }
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -6,11 +6,16 @@
 mod hub_choice;
 mod hubs;
 mod members;
+mod naming;
+mod relay_plan;
 
 pub use beat::{MOST_DATAGRAM_BYTES, PeerBeat, PeerMessage};
 pub use feed_marks::{FeedDuty, FeedMark, FeedMarks, FeedTopic};
 pub use feed_news::{FeedNews, NewsQueue};
-pub(crate) use hub_choice::HUB_SILENCE;
 pub use hub_choice::{HubChoice, SummaryNews};
-pub use hubs::{DIRECT_HOSTS, HUBS, HubSummary, HubSums, HubTally, MemberLine};
+pub use hubs::{
+    CellDigest, DIRECT_HOSTS, HUBS, HubSummary, HubSums, HubTally, HubTotals, MemberLine,
+};
 pub use members::{BeatNews, MemberTable, MemberView};
+pub use naming::name_hosts;
+pub use relay_plan::{MOST_CELL_HOSTS, RelayCandidate, RelayPlan, STORE_READERS};
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -7,7 +7,7 @@
 use super::endpoint_load::EndpointLoad;
 use super::pace::weighted_tokens;
 use super::types::WorkItem;
-use crate::catalog::ServiceEntry;
+use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{VersionName, ZoneName};
 
@@ -35,10 +35,14 @@
     pub zones_out: &'a [ZoneName],
     /// A version under rollout, and whether this choice is for it or for the others.
     pub version: Option<(&'a VersionName, RolloutSide)>,
+    /// The zone whose loads are heard first; `None` in a fleet that isn't divided.
+    pub cell: Option<&'a ZoneName>,
     /// Part of the endpoints that one choice looks at, drawn anew each time; the others are taken
     /// only when none of these has room. Many hosts that see the same reports would else choose
     /// the same endpoint until the next report.
     pub looked_at: f64,
+    /// The same for endpoints of other zones.
+    pub far_looked_at: f64,
 }
 
 impl ChoiceBounds<'_> {
@@ -50,6 +54,11 @@
     }
 }
 
+/// Whether an endpoint is in another zone than the one whose loads are heard first.
+pub(crate) fn is_far(cell: Option<&ZoneName>, entry: &EndpointEntry) -> bool {
+    cell.is_some_and(|cell| *cell != entry.zone)
+}
+
 /// Picks the endpoint with the lowest expected cost.
 pub(crate) fn choose_endpoint(
     endpoints: &mut [EndpointLoad],
@@ -88,9 +97,14 @@
         } else {
             settings.plain_noise
         };
+        let (distance, looked_at) = if is_far(bounds.cell, &load.entry) {
+            (settings.far_factor, bounds.far_looked_at)
+        } else {
+            (1.0, bounds.looked_at)
+        };
         let noise = 1.0 + spread * draw();
-        let cost = expected_cost(load, item, engine, settings, now) * noise;
-        let slot = match draw() < bounds.looked_at {
+        let cost = expected_cost(load, item, engine, settings, now) * distance * noise;
+        let slot = match draw() < looked_at {
             _ if late => &mut last_resort,
             true => &mut best,
             false => &mut second_best,
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rollout_judge::RolloutSide;
 
-use super::choice::{ChoiceBounds, EndpointChoice, choose_endpoint};
+use super::choice::{ChoiceBounds, EndpointChoice, choose_endpoint, is_far};
 use super::endpoint_load::EndpointLoad;
 use super::queue::{WaitQueue, longest_wait};
 use super::tier_shares::ServiceShares;
@@ -18,7 +18,8 @@
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{
-    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, TierNumber, ZoneName, name_hash,
+    EndpointId, FastMap, FastSet, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber,
+    ZoneName, name_hash,
 };
 
 /// Shortest wait that a refused caller is told. An overload lasts for seconds; who comes back within
@@ -42,6 +43,10 @@
     placed: FastMap<TicketNumber, EndpointId>,
     own: Option<HostAddress>,
     hosts: Vec<HostAddress>,
+    /// Zone whose loads are heard first, in a large fleet.
+    cell: Option<ZoneName>,
+    /// Hosts in the own zone.
+    near_hosts: usize,
     random: SmallRng,
     /// Own load changed since the last report.
     load_changed: bool,
@@ -61,6 +66,8 @@
             placed: FastMap::default(),
             own: None,
             hosts: Vec::new(),
+            cell: None,
+            near_hosts: 1,
             random: SmallRng::seed_from_u64(seed),
             load_changed: false,
         }
@@ -102,13 +109,11 @@
             SchedulerEvent::PeerReported { peer, reports } => {
                 self.note_peer(peer, &reports, now);
             }
-            SchedulerEvent::PeersReplaced { peer, reports } => {
-                for load in &mut self.endpoints {
-                    load.forget_peers();
-                }
-                self.note_peer(peer, &reports, now);
-                self.deal_credits(now);
-            }
+            SchedulerEvent::PeersReplaced {
+                peer,
+                reports,
+                zone,
+            } => self.replace_peers(peer, &reports, zone.as_ref(), now),
             SchedulerEvent::PacesObserved(reports) => {
                 self.each_pace(&reports, |load, report| load.pace.note_report(report));
                 return Vec::new();
@@ -117,11 +122,13 @@
                 self.each_pace(&reports, |load, report| load.pace.adopt(report));
                 return Vec::new();
             }
-            SchedulerEvent::HostsChanged { own, hosts } => {
+            SchedulerEvent::HostsChanged { own, hosts, near } => {
                 self.own = Some(own);
                 self.hosts = hosts;
+                self.near_hosts = near;
                 self.share_cold_rates();
             }
+            SchedulerEvent::CellChanged(cell) => self.cell = cell,
             SchedulerEvent::Tick => {}
         }
         self.send_waiting(now)
@@ -244,15 +251,16 @@
 
     /// Sends what has room, in order. A request that only excluded or full endpoints could take
     /// does not hold up the ones behind it when it has exclusions of its own.
-    #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
     fn send_service(
         &mut self,
         service: &ServiceName,
         now: Instant,
         effects: &mut Vec<SchedulerEffect>,
     ) {
+        let (near, far) = self.competitors();
+        let looked_at = |hosts: f64| self.settings.choices_at_once / hosts;
+        let (looked_at, far_looked_at) = (looked_at(near), looked_at(far));
         let shares = self.shares.entry(service.clone()).or_default();
-        let looked_at = self.settings.choices_at_once / self.hosts.len().max(1) as f64;
         for ticket in self.queue.ordered(service, shares, &self.settings, now) {
             let Some(item) = self.queue.get(ticket) else {
                 continue;
@@ -266,7 +274,9 @@
                     &ChoiceBounds {
                         zones_out: &self.zones_out,
                         version,
+                        cell: self.cell.as_ref(),
                         looked_at,
+                        far_looked_at,
                     },
                     &self.settings,
                     || random.random::<f64>(),
@@ -438,15 +448,56 @@
         }
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
-    fn deal_credits(&mut self, now: Instant) {
-        let part = self.settings.credit_overlap / self.hosts.len().max(1) as f64;
+    /// Takes the loads that a hub tells for all peers, of the endpoints of one zone or of all, and
+    /// deals the free places.
+    fn replace_peers(
+        &mut self,
+        peer: HostAddress,
+        reports: &[EndpointReport],
+        zone: Option<&ZoneName>,
+        now: Instant,
+    ) {
+        let by_endpoint: FastMap<_, _> = reports
+            .iter()
+            .map(|report| (report.endpoint, report))
+            .collect();
+        let (near, far) = self.competitors();
         for load in &mut self.endpoints {
+            if zone.is_some_and(|zone| *zone != load.entry.zone) {
+                continue;
+            }
+            load.forget_peers();
+            load.set_peer(peer, by_endpoint.get(&load.hash).copied(), now);
+            let is_far = is_far(self.cell.as_ref(), &load.entry);
+            let hosts = if is_far { far } else { near };
+            let part = (self.settings.credit_overlap / hosts).min(1.0);
             let draw = self.random.random::<f64>();
-            load.deal_credits(part.min(1.0), draw, self.settings.peer_expiry, now);
+            load.deal_credits(part, draw, self.settings.peer_expiry, now);
         }
     }
 
+    /// How many hosts, this one among them, choose among the endpoints of the own zone, and among
+    /// those of others.
+    #[expect(clippy::cast_precision_loss, reason = "at most some hundred hosts")]
+    fn competitors(&self) -> (f64, f64) {
+        let all = self.hosts.len().max(1);
+        let near = match self.cell {
+            Some(_) => self.near_hosts.clamp(1, all),
+            None => all,
+        };
+        (near as f64, all as f64)
+    }
+
+    /// Hashes of the endpoints in a zone.
+    #[must_use]
+    pub fn endpoints_in(&self, zone: &ZoneName) -> FastSet<NameHash> {
+        let of_zone = self
+            .endpoints
+            .iter()
+            .filter(|load| load.entry.zone == *zone);
+        of_zone.map(|load| load.hash).collect()
+    }
+
     /// Deals the rate of each cold endpoint to the hosts that rank first for it.
     fn share_cold_rates(&mut self) {
         let Some(own) = self.own else { return };
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -104,20 +104,24 @@
         peer: HostAddress,
         reports: Vec<EndpointReport>,
     },
-    /// The reports of a hub replace those of all peers.
+    /// The reports of a hub replace those of all peers, for endpoints of this zone or for all.
     PeersReplaced {
         peer: HostAddress,
         reports: Vec<EndpointReport>,
+        zone: Option<ZoneName>,
     },
     /// What a peer has observed of endpoints' pace.
     PacesObserved(Vec<PaceReport>),
     /// Estimates of a host that hears of all runs.
     PacesEstimated(Vec<PaceReport>),
-    /// The hosts that are alive, this one among them.
+    /// The hosts that are alive, this one among them; `near` of them in its zone.
     HostsChanged {
         own: HostAddress,
         hosts: Vec<HostAddress>,
+        near: usize,
     },
+    /// The zone whose loads this host hears first; `None` in a fleet that isn't divided.
+    CellChanged(Option<ZoneName>),
     Tick,
 }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -34,6 +34,8 @@
         usage: Vec::new(),
         rollouts: Vec::new(),
         heard: Vec::new(),
+        hubs: Vec::new(),
+        follows: None,
     }
 }
 
--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -9,7 +9,9 @@
 
 use common::{beat, host};
 use gateway::catalog::{UsageCap, UsageUnit, WorkspaceEntry};
-use gateway::limits::{CapTolerance, RetryBudget, RetryBudgetSettings, UsageCaps, UsageVerdict};
+use gateway::limits::{
+    CapTolerance, RetryBudget, RetryBudgetSettings, UsageCaps, UsageReport, UsageVerdict,
+};
 use gateway::membership::{HubTally, PeerBeat};
 use seeds::check_seeds;
 
@@ -33,6 +35,7 @@
 fn caps(start: Instant) -> UsageCaps {
     let mut caps = UsageCaps::new(CapTolerance {
         window: WINDOW,
+        overshoot: 0.1,
         units: TOLERANCE,
     });
     caps.configure([&workspace(RATE)].into_iter(), start);
@@ -222,7 +225,7 @@
             }
             let address = host(if index == 0 { 200 } else { 201 });
             for (number, one) in (0..play.hosts).zip(&mut all) {
-                let usage = hub.without(host(number), |_| true).usage;
+                let usage = usage_without(hub, number, now);
                 one.note_hub(address, 1, &usage, now);
             }
         }
@@ -230,6 +233,12 @@
     greatest_window(&admitted)
 }
 
+/// What a hub tells a host of the usage of all others.
+fn usage_without(hub: &HubTally, number: u8, now: Instant) -> Vec<UsageReport> {
+    let totals = hub.totals(None, now);
+    hub.without(&totals, None, Some(host(number))).usage
+}
+
 fn usage_beat(number: u8, step: u64, caps: &UsageCaps) -> PeerBeat {
     PeerBeat {
         usage: caps.reports(),
@@ -346,7 +355,7 @@
                 UsagePath::Direct => free.note_peer(host(1), 1, &full.reports(), false, now),
                 UsagePath::Hub => {
                     tally.note_beat(&usage_beat(1, step, &full), now);
-                    let usage = tally.without(host(2), |_| true).usage;
+                    let usage = usage_without(&tally, 2, now);
                     free.note_hub(host(200), 1, &usage, now);
                 }
             }
@@ -428,7 +437,7 @@
         if step.is_multiple_of(5) {
             let address = host(200 + u8::try_from(turn).expect("small"));
             for (number, one) in (0..HOSTS).zip(&mut all) {
-                let usage = hubs[turn].without(host(number), |_| true).usage;
+                let usage = usage_without(&hubs[turn], number, now);
                 one.note_hub(address, 1, &usage, now);
             }
         }
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -130,7 +130,7 @@
 #[test]
 fn the_largest_hosts_that_are_heard_relay() {
     let now = Instant::now();
-    let tables: Vec<_> = (1..=14_u8)
+    let mut tables: Vec<_> = (1..=14_u8)
         .map(|own| {
             let mut table = MemberTable::new(host(own));
             for other in (1..=14).filter(|other| *other != own) {
@@ -139,23 +139,20 @@
             (own, table)
         })
         .collect();
-    for (own, table) in &tables {
-        assert_eq!(
-            table.hubs(cpu_permille(*own), now),
-            Some(vec![host(12), host(13)]),
-            "{own}"
-        );
+    let zone = "a".into();
+    for (own, table) in &mut tables {
+        let plan = table.plan(&zone, cpu_permille(*own), now);
+        assert_eq!(plan.hubs, [host(12), host(13)], "{own}");
     }
     let (_, mut table) = tables.into_iter().next().expect("a table");
     let later = now + Duration::from_millis(800);
     for other in (2..=14_u8).filter(|other| *other != 12) {
         table.note_beat(&sized_beat(other, 2), later);
     }
-    assert_eq!(table.hubs(120, later), Some(vec![host(13), host(14)]));
-    let small = MemberTable::new(host(1));
-    assert_eq!(
-        small.hubs(120, now),
-        None,
+    assert_eq!(table.plan(&zone, 120, later).hubs, [host(13), host(14)]);
+    let mut small = MemberTable::new(host(1));
+    assert!(
+        !small.plan(&zone, 120, now).is_relayed(),
         "few hosts tell each other directly"
     );
 }
@@ -178,6 +175,7 @@
             count: UsageCount {
                 admitted,
                 returned: 0,
+                refused: 0,
             },
         }],
         ..beat(number, incarnation, 1)
@@ -189,10 +187,11 @@
     }
     // Host 2 starts again and uses 30 more.
     tally.note_beat(&told(2, 2, 4, 30), now);
-    let HubSums { loads, usage, .. } = tally.without(host(1), |_| true);
+    let sums = |at| tally.without(&tally.totals(None, at), None, Some(host(1)));
+    let HubSums { loads, usage, .. } = sums(now);
     assert_eq!((loads[0].active, loads[0].unread_tokens), (6, 20));
     assert_eq!(usage[0].count.admitted, 230);
-    let HubSums { loads, usage, .. } = tally.without(host(1), |_| false);
+    let HubSums { loads, usage, .. } = sums(now + Duration::from_millis(700));
     assert!(loads.is_empty());
     assert_eq!(usage[0].count.admitted, 230);
 }
@@ -203,10 +202,12 @@
         incarnation: 1,
         number,
         loads: Vec::new(),
+        loads_of: None,
         usage: Vec::new(),
         rollouts: Vec::new(),
         marks: Vec::new(),
         members: Vec::new(),
+        alive: Vec::new(),
         paces: Vec::new(),
         news: Vec::new(),
     }
@@ -218,42 +219,37 @@
 fn overtaken_summaries_change_nothing() {
     let now = Instant::now();
     let mut choice = HubChoice::default();
+    assert_eq!(choice.take(host(1), 1, 5, true, now), SummaryNews::Switched);
     assert_eq!(
-        choice.take(&summary(1, 5), true, now),
-        SummaryNews::Switched
-    );
-    assert_eq!(
-        choice.take(&summary(1, 4), true, now),
+        choice.take(host(1), 1, 4, true, now),
         SummaryNews::Overtaken
     );
     assert_eq!(
-        choice.take(&summary(1, 5), true, now),
+        choice.take(host(1), 1, 5, true, now),
         SummaryNews::Overtaken
     );
-    assert_eq!(
-        choice.take(&summary(1, 6), true, now),
-        SummaryNews::Followed
-    );
+    assert_eq!(choice.take(host(1), 1, 6, true, now), SummaryNews::Followed);
     // The other hub counts only while the first one is silent.
-    assert_eq!(choice.take(&summary(2, 9), false, now), SummaryNews::Unused);
+    assert_eq!(choice.take(host(2), 1, 9, false, now), SummaryNews::Unused);
     let later = now + Duration::from_secs(1);
     assert_eq!(
-        choice.take(&summary(2, 10), false, later),
+        choice.take(host(2), 1, 10, false, later),
         SummaryNews::Switched
     );
     // A late datagram of the first hub doesn't bring it back; a new one does.
     assert_eq!(
-        choice.take(&summary(1, 6), true, later),
+        choice.take(host(1), 1, 6, true, later),
         SummaryNews::Overtaken
     );
     assert_eq!(
-        choice.take(&summary(1, 7), true, later),
+        choice.take(host(1), 1, 7, true, later),
         SummaryNews::Switched
     );
     // A restarted hub counts from the start.
-    let mut restarted = summary(1, 1);
-    restarted.incarnation = 2;
-    assert_eq!(choice.take(&restarted, true, later), SummaryNews::Followed);
+    assert_eq!(
+        choice.take(host(1), 2, 1, true, later),
+        SummaryNews::Followed
+    );
 }
 
 /// Guards against a host that was cut off from the store, comes back, and goes on sending to
@@ -318,6 +314,7 @@
     let count = UsageCount {
         admitted: u64::MAX,
         returned: u64::MAX,
+        refused: u64::MAX,
     };
     let mut largest = summary(1, u64::MAX);
     for number in 0..340_u32 {
--- a/gateway/tests/scheduler.rs
+++ b/gateway/tests/scheduler.rs
@@ -27,6 +27,7 @@
     let alone = SchedulerEvent::HostsChanged {
         own: host(1),
         hosts: vec![host(1)],
+        near: 1,
     };
     state.reduce(alone, now);
     state
@@ -147,6 +148,7 @@
             } else {
                 vec![host(number)]
             },
+            near: known.len(),
         };
         state.reduce(event, start);
         for step in 0..300_u64 {
@@ -216,9 +218,16 @@
     let mut sent = 0;
     for number in 1..=HOSTS {
         let mut state = seeded_scheduler(&[endpoint("e1", "a")], true, number.into(), now);
-        let hosts = (1..=HOSTS).map(host).collect();
+        let hosts: Vec<_> = (1..=HOSTS).map(host).collect();
         let own = host(number);
-        state.reduce(SchedulerEvent::HostsChanged { own, hosts }, now);
+        state.reduce(
+            SchedulerEvent::HostsChanged {
+                own,
+                near: hosts.len(),
+                hosts,
+            },
+            now,
+        );
         let full = EndpointReport {
             endpoint: name_hash("e1"),
             active: 4,
@@ -227,6 +236,7 @@
         let summary = |reports| SchedulerEvent::PeersReplaced {
             peer: host(200),
             reports,
+            zone: None,
         };
         state.reduce(summary(vec![full]), now);
         for ticket in 0..3 {
