Work out the rates of cold endpoints only when they are cold

Cause: each endpoint that was seen, and each change of the hosts, ranked all hosts for all endpoints anew: 266 x 266 x 295 hashes a host at the start. Change: a rate is dealt when an endpoint is cold, once for each set of hosts; the first listing of endpoints is logged in one line.

--- a/gateway/src/edge/exchange.rs
+++ b/gateway/src/edge/exchange.rs
@@ -80,15 +80,15 @@
     /// Takes a beat of a peer; true when the peer should hear from this host at once.
     pub(crate) fn note_beat(&self, beat: PeerBeat) -> bool {
         let now = Instant::now();
-        let (news, direct) = {
+        let (news, direct, moved) = {
             let state = &mut *self.state.borrow_mut();
             let news = state.members.note_beat(&beat, now);
             let follows_hub = state.hub_choice.is_following(now);
+            let mut moved = false;
             if news != BeatNews::Stale {
                 state.tally.note_beat(&beat, now);
-                state
-                    .marks
-                    .note_peer(beat.line.host, beat.marks.clone(), now);
+                let marks = &mut state.marks;
+                moved = marks.note_peer(beat.line.host, beat.marks.clone(), now);
                 if !follows_hub {
                     let was_silent = news == BeatNews::Appeared;
                     let caps = &mut state.caps;
@@ -105,8 +105,11 @@
                         .note_peer(beat.line.host, &beat.rollouts, now);
                 }
             }
-            (news, !follows_hub)
+            (news, !follows_hub, moved)
         };
+        if moved {
+            self.wake_for_news();
+        }
         if news == BeatNews::Stale {
             return false;
         }
@@ -129,7 +132,8 @@
     /// Takes a hub's summary.
     pub(crate) fn note_summary(&self, summary: HubSummary) {
         let now = Instant::now();
-        {
+        let mut awaited = !summary.news.is_empty();
+        let used = {
             let state = &mut *self.state.borrow_mut();
             let is_first = state.plan.preferred(self.settings.host) == Some(summary.hub);
             let (hub, incarnation) = (summary.hub, summary.incarnation);
@@ -147,18 +151,24 @@
             }
             state.members.note_alive(&summary.alive, now);
             state.members.note_itself(hub, now);
-            state.marks.note_peer(hub, summary.marks, now);
+            awaited |= state.marks.note_peer(hub, summary.marks, now);
             // Usage counts from every hub: the loss of one must not hide any.
             state.caps.note_hub(hub, incarnation, &summary.usage, now);
-            match news {
-                SummaryNews::Overtaken | SummaryNews::Unused => return,
-                SummaryNews::Followed => {}
-                SummaryNews::Switched => {
-                    log::info!(hub = hub.to_string().as_str(); "hub: followed");
-                }
+            if news == SummaryNews::Switched {
+                log::info!(hub = hub.to_string().as_str(); "hub: followed");
+            }
+            let used = news != SummaryNews::Unused;
+            if used {
+                state.rollouts.forget_peers();
+                state.rollouts.note_peer(HUB_PEER, &summary.rollouts, now);
             }
-            state.rollouts.forget_peers();
-            state.rollouts.note_peer(HUB_PEER, &summary.rollouts, now);
+            used
+        };
+        if awaited {
+            self.wake_for_news();
+        }
+        if !used {
+            return;
         }
         if !summary.paces.is_empty() {
             self.schedule(SchedulerEvent::PacesEstimated(summary.paces));
@@ -173,6 +183,7 @@
     /// Takes what a hub of another cell tells of it.
     pub(crate) fn note_digest(&self, digest: CellDigest) {
         let now = Instant::now();
+        let mut awaited = !digest.news.is_empty();
         {
             let state = &mut *self.state.borrow_mut();
             if !state.tally.note_digest(&digest, now) {
@@ -183,12 +194,15 @@
                 state.members.note_line(line, now);
             }
             state.members.note_itself(digest.hub, now);
-            state.marks.note_peer(digest.hub, digest.marks, now);
+            awaited |= state.marks.note_peer(digest.hub, digest.marks, now);
             for news in digest.news {
                 state.news_heard.push(news.clone());
                 state.news_to_pass.push(news);
             }
         }
+        if awaited {
+            self.wake_for_news();
+        }
         if !digest.paces.is_empty() {
             self.schedule(SchedulerEvent::PacesObserved(digest.paces));
         }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -54,6 +54,8 @@
     pub news_to_pass: NewsQueue,
     /// What hubs have told and the reader of the topic has not taken yet.
     pub news_heard: NewsQueue,
+    /// Who waits for the next news.
+    news_waiters: Vec<oneshot::Sender<()>>,
     pub summary_number: u64,
     /// A mark moved since the last beat.
     pub marks_moved: bool,
@@ -111,6 +113,7 @@
             news_to_tell: NewsQueue::new(MOST_TOLD_BYTES),
             news_to_pass: NewsQueue::new(MOST_TOLD_BYTES),
             news_heard: NewsQueue::new(MOST_HEARD_BYTES),
+            news_waiters: Vec::new(),
             summary_number: 0,
             marks_moved: false,
             removals: RemovalHold::default(),
@@ -207,7 +210,9 @@
         for id in missing {
             self.lose_endpoint(&id, now);
         }
-        self.state.borrow_mut().endpoints_listed = true;
+        let state = &mut *self.state.borrow_mut();
+        state.endpoints_listed = true;
+        log::info!(endpoints = state.catalog.endpoints().count(); "endpoints: listed");
     }
 
     /// The store answered.
@@ -263,6 +268,18 @@
         self.is_relayed().then_some(heard)
     }
 
+    /// Completes when a datagram has told of news of the store.
+    pub async fn next_news(&self) {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let waiters = &mut self.state.borrow_mut().news_waiters;
+            waiters.retain(|waiter| !waiter.is_canceled());
+            waiters.push(sender);
+        }
+        // A sender that is dropped ends the wait as well.
+        let _ = receiver.await;
+    }
+
     /// The store refused, broke or gave no answer.
     pub fn note_store_failed(&self, cause: &str) {
         let state = &mut *self.state.borrow_mut();
@@ -410,6 +427,15 @@
         (state.last_ticket, receiver)
     }
 
+    /// Wakes what waits for news of the store.
+    pub(crate) fn wake_for_news(&self) {
+        let waiters = std::mem::take(&mut self.state.borrow_mut().news_waiters);
+        for waiter in waiters {
+            // Its receiver may have stopped to wait.
+            let _ = waiter.send(());
+        }
+    }
+
     pub(crate) fn forget_ticket(&self, ticket: TicketNumber) {
         self.state.borrow_mut().waiting.remove(&ticket);
     }
@@ -522,8 +548,14 @@
             let known = !state.endpoints_listed;
             (state.catalog.insert_endpoint(entry), known)
         };
-        log::info!(
-            endpoint = entry.id.as_str(), service = entry.service.as_str(), zone = entry.zone.as_str(),
+        // The first listing of a large fleet is told in one line.
+        let level = if known {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level, endpoint = entry.id.as_str(), service = entry.service.as_str(), zone = entry.zone.as_str(),
             version = entry.version.as_str(), draining = entry.draining, cold_ms = entry.cold_for.as_millis();
             "endpoint: seen"
         );
--- a/gateway/src/membership/feed_marks.rs
+++ b/gateway/src/membership/feed_marks.rs
@@ -57,6 +57,8 @@
 pub struct FeedMarks {
     own: FastMap<FeedTopic, OwnMark>,
     peers: FastMap<HostAddress, Vec<(FeedMark, Instant)>>,
+    /// The furthest place that any peer has told.
+    furthest: FastMap<FeedTopic, u64>,
 }
 
 impl FeedMarks {
@@ -81,9 +83,17 @@
         }
     }
 
-    pub fn note_peer(&mut self, peer: HostAddress, marks: Vec<FeedMark>, now: Instant) {
+    /// Takes what a peer tells; true when it has read further than any before.
+    pub fn note_peer(&mut self, peer: HostAddress, marks: Vec<FeedMark>, now: Instant) -> bool {
+        let mut moved = false;
+        for mark in &marks {
+            let furthest = self.furthest.entry(mark.topic).or_default();
+            moved |= mark.next > *furthest;
+            *furthest = mark.next.max(*furthest);
+        }
         let marks = marks.into_iter().map(|mark| (mark, now)).collect();
         self.peers.insert(peer, marks);
+        moved
     }
 
     /// Own marks for the beat. Only what this host read itself is told on.
--- a/gateway/src/scheduler/endpoint_load.rs
+++ b/gateway/src/scheduler/endpoint_load.rs
@@ -39,6 +39,8 @@
     pub gate: ColdGate,
     /// Requests per second that this host may send while the endpoint is cold.
     pub cold_share_per_s: f64,
+    /// The version of the hosts for which that was worked out.
+    pub cold_share_of: Option<u64>,
     /// Places that this host may still take before the next summary of a hub; `None` where hosts
     /// tell each other directly.
     place_credits: Option<u32>,
@@ -55,6 +57,7 @@
             pace: PaceEstimate::default(),
             gate: ColdGate::default(),
             cold_share_per_s: 0.0,
+            cold_share_of: None,
             place_credits: None,
             runs: FastMap::default(),
             peers: FastMap::default(),
@@ -204,8 +207,6 @@
 
     /// A new incarnation under the same id: nothing of the old one holds.
     pub fn restart(&mut self, entry: Rc<EndpointEntry>) {
-        let cold_share_per_s = self.cold_share_per_s;
         *self = Self::new(entry);
-        self.cold_share_per_s = cold_share_per_s;
     }
 }
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -1,5 +1,6 @@
 //! The reducer: one event in, effects out.
 
+use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,7 @@
 use crate::configs::SchedulerSettings;
 use crate::ids::{
     EndpointId, FastMap, FastSet, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber,
-    ZoneName, name_hash,
+    ZoneName,
 };
 
 /// Shortest wait that a refused caller is told. An overload lasts for seconds; who comes back within
@@ -47,6 +48,8 @@
     cell: Option<ZoneName>,
     /// Hosts in the own zone.
     near_hosts: usize,
+    /// Rises when the rates of cold endpoints must be dealt anew.
+    hosts_version: u64,
     random: SmallRng,
     /// Own load changed since the last report.
     load_changed: bool,
@@ -68,6 +71,7 @@
             hosts: Vec::new(),
             cell: None,
             near_hosts: 1,
+            hosts_version: 0,
             random: SmallRng::seed_from_u64(seed),
             load_changed: false,
         }
@@ -95,7 +99,7 @@
                     .into_iter()
                     .map(|service| (service.name.clone(), service))
                     .collect();
-                self.share_cold_rates();
+                self.hosts_version += 1;
             }
             SchedulerEvent::EndpointSeen { entry, known } => self.see_endpoint(entry, known, now),
             SchedulerEvent::EndpointGone(id) => self.endpoints.retain(|load| load.entry.id != id),
@@ -126,7 +130,7 @@
                 self.own = Some(own);
                 self.hosts = hosts;
                 self.near_hosts = near;
-                self.share_cold_rates();
+                self.hosts_version += 1;
             }
             SchedulerEvent::CellChanged(cell) => self.cell = cell,
             SchedulerEvent::Tick => {}
@@ -257,6 +261,7 @@
         now: Instant,
         effects: &mut Vec<SchedulerEffect>,
     ) {
+        self.share_cold_rates(now);
         let (near, far) = self.competitors();
         let looked_at = |hosts: f64| self.settings.choices_at_once / hosts;
         let (looked_at, far_looked_at) = (looked_at(near), looked_at(far));
@@ -424,7 +429,6 @@
         if cold_for > Duration::ZERO {
             load.gate.mark_cold(now + cold_for);
         }
-        self.share_cold_rates();
     }
 
     /// Its endpoints may have been restarted or have lost their caches meanwhile.
@@ -498,24 +502,24 @@
         of_zone.map(|load| load.hash).collect()
     }
 
-    /// Deals the rate of each cold endpoint to the hosts that rank first for it.
-    fn share_cold_rates(&mut self) {
+    /// Deals the rates of cold endpoints to the hosts that rank first for them. Of endpoints that are
+    /// warm nothing is worked out: a large fleet has some hundred of them and as many hosts.
+    fn share_cold_rates(&mut self, now: Instant) {
         let Some(own) = self.own else { return };
+        // A host that knows no other may just not have found them yet.
+        let known = self.hosts.len();
+        let most = self.settings.cold_senders;
+        let senders = if known < 2 { most } else { most.min(known) };
         for load in &mut self.endpoints {
-            let rate = self
-                .services
-                .get(&load.entry.service)
-                .map_or(0.0, |service| service.cold_rate_per_s);
-            // A host that knows no other may just not have found them yet.
-            let known = self.hosts.len();
-            let most = self.settings.cold_senders;
-            let senders = if known < 2 { most } else { most.min(known) };
-            let own_rank = host_rank(&load.entry.id, own);
-            let before = self
-                .hosts
-                .iter()
-                .filter(|host| host_rank(&load.entry.id, **host) < own_rank)
-                .count();
+            if load.cold_share_of == Some(self.hosts_version) || !load.gate.is_cold(now) {
+                continue;
+            }
+            load.cold_share_of = Some(self.hosts_version);
+            let service = self.services.get(&load.entry.service);
+            let rate = service.map_or(0.0, |service| service.cold_rate_per_s);
+            let own_rank = host_rank(load.hash, own);
+            let ranks = self.hosts.iter().map(|host| host_rank(load.hash, *host));
+            let before = ranks.filter(|rank| *rank < own_rank).count();
             #[expect(clippy::cast_precision_loss, reason = "a handful of hosts")]
             let share = rate / senders as f64;
             load.cold_share_per_s = if before < senders { share } else { 0.0 };
@@ -530,6 +534,8 @@
 }
 
 /// Rendezvous rank of a host for an endpoint, the same on every host.
-fn host_rank(endpoint: &EndpointId, host: HostAddress) -> (u32, HostAddress) {
-    (name_hash(&format!("{endpoint}@{host}")), host)
+fn host_rank(endpoint: NameHash, host: HostAddress) -> (u64, HostAddress) {
+    let mut hasher = rustc_hash::FxHasher::default();
+    (endpoint, host).hash(&mut hasher);
+    (hasher.finish(), host)
 }
