Bound bytes that are no answer, and end streams that make no progress

Cause: an endpoint that wrote interim answers or a chunk size without end kept the one thread of a host busy (9.5 s until the test's endpoint stopped); an event without end in small chunks was searched from its start at each chunk and held a stream until its time limit; a byte now and then kept a stalled stream open.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -137,7 +137,13 @@
         .caps
         .admit(&workspace.name, total_tokens(usage), idle, Instant::now());
     match verdict {
-        UsageVerdict::Admitted => Ok(()),
+        UsageVerdict::Admitted => {
+            log::debug!(
+                id = id, workspace = workspace.name.as_str(), tokens = total_tokens(usage).unwrap_or(0);
+                "usage: admitted"
+            );
+            Ok(())
+        }
         UsageVerdict::Refused { retry_after, level } => {
             log::info!(
                 id = id, workspace = workspace.name.as_str(), tokens = total_tokens(usage).unwrap_or(0),
--- a/gateway/src/edge/connection_pool.rs
+++ b/gateway/src/edge/connection_pool.rs
@@ -47,6 +47,11 @@
         self.connection.send(request).await
     }
 
+    /// Lets so many bytes more of the body be read.
+    pub fn allow_body(&self, bytes: usize) {
+        self.connection.allow_body(bytes);
+    }
+
     /// Takes over the idle limit that the endpoint named.
     pub fn note_keep_alive(&mut self, seconds: Option<u64>) {
         if let Some(seconds) = seconds {
--- a/gateway/src/edge/event_splitter.rs
+++ b/gateway/src/edge/event_splitter.rs
@@ -2,8 +2,12 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Bytes of an event that has no end yet; a longer one is passed on in parts.
-const LONGEST_EVENT_BYTES: usize = 1024 * 1024;
+/// Bytes of an event that has no end yet. What is longer is no event: one holds a few hundred bytes.
+pub(crate) const LONGEST_EVENT_BYTES: usize = 256 * 1024;
+
+/// Bytes came that end no event within the bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndlessEvent;
 
 /// Whole events and the id of the last one.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -21,32 +25,28 @@
 
 impl EventSplitter {
     /// Takes a chunk and returns the events that are whole now, if any.
-    pub fn push(&mut self, chunk: Bytes) -> Option<WholeEvents> {
-        let data = if self.partial.is_empty() {
-            chunk
-        } else {
-            self.partial.extend_from_slice(&chunk);
-            self.partial.split().freeze()
-        };
-        let Some(end) = last_event_end(&data) else {
-            if data.len() > LONGEST_EVENT_BYTES {
-                return Some(WholeEvents {
-                    bytes: data,
-                    count: 0,
-                    last_id: None,
-                });
-            }
-            self.partial.extend_from_slice(&data);
-            return None;
-        };
-        self.partial.extend_from_slice(&data[end..]);
-        let bytes = data.slice(..end);
+    ///
+    /// # Errors
+    ///
+    /// Fails when more bytes came without the end of an event than any event has.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Option<WholeEvents>, EndlessEvent> {
+        // The end may begin with the last byte of what came before; the rest of it was searched.
+        let searched = self.partial.len().saturating_sub(1);
+        self.partial.extend_from_slice(chunk);
+        let end = last_event_end(&self.partial[searched..]).map_or(0, |end| searched + end);
+        if self.partial.len() - end > LONGEST_EVENT_BYTES {
+            return Err(EndlessEvent);
+        }
+        if end == 0 {
+            return Ok(None);
+        }
+        let bytes = self.partial.split_to(end).freeze();
         let (count, last_id) = scan_events(&bytes);
-        Some(WholeEvents {
+        Ok(Some(WholeEvents {
             bytes,
             count,
             last_id,
-        })
+        }))
     }
 
     /// Drops what came of an unfinished event, before the stream goes on elsewhere.
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -24,6 +24,8 @@
 
 /// Longest answer of a plain service that is held until it is whole.
 const MOST_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of a body with its framing, as a multiple of those without: chunks may be small.
+const FRAMING_FACTOR: usize = 2;
 /// Wait that callers are told when endpoints refused unrun.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Most dispatches of one request, those included that did not run.
@@ -307,7 +309,12 @@
         job.first_byte = Some(job.arrived.elapsed());
         let (parts, body) = answer.response.into_parts();
         let failed = parts.status.is_server_error();
-        let Ok(collected) = Limited::new(body, MOST_ANSWER_BYTES).collect().await else {
+        answer
+            .connection
+            .allow_body(FRAMING_FACTOR * MOST_ANSWER_BYTES);
+        let collecting = Limited::new(body, MOST_ANSWER_BYTES).collect();
+        let collected = compio::time::timeout(body_limit(job), collecting).await;
+        let Ok(Ok(collected)) = collected else {
             answer.run.end(RunEnd::Broken);
             if !may_go_on(job, DispatchFailure::MaybeRun) {
                 return Err(EdgeFault::EndpointBroken.into());
@@ -335,6 +342,17 @@
     }
 }
 
+/// How long a body may take. Where the request may be repeated, half of the time that is left stays
+/// for another endpoint.
+fn body_limit(job: &ForwardJob) -> Duration {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    if job.route.kind.is_repeatable() && job.runs < job.route.attempts {
+        left / 2
+    } else {
+        left
+    }
+}
+
 fn whole_body(job: &ForwardJob, bytes: Bytes) -> EdgeBody {
     if job.method == Method::HEAD || bytes.is_empty() {
         return EdgeBody::empty();
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -24,7 +24,7 @@
 
 pub use dialect::{CatalogArchive, HeaderNames, WireDialect};
 pub use directory::CATALOG_PATH;
-pub use event_splitter::{EventSplitter, WholeEvents};
+pub use event_splitter::{EndlessEvent, EventSplitter, WholeEvents};
 pub use reply::EdgeFault;
 pub use run::run_edge;
 pub use settings::EdgeSettings;
--- a/gateway/src/edge/relay.rs
+++ b/gateway/src/edge/relay.rs
@@ -11,7 +11,7 @@
 use super::body::EdgeBody;
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job, silence_limit};
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, LONGEST_EVENT_BYTES};
 use super::forward::{EndpointAnswer, ForwardJob, is_resumable, log_end, may_go_on, place_job};
 use super::headers;
 use super::placement::PlacedRun;
@@ -20,6 +20,8 @@
 /// Pause between events after which a stream that may be resumed is, as a multiple of the pause
 /// that is still on time: callers give up at eight times that pause.
 const STALL_FACTOR: u32 = 4;
+/// Bytes that may be read up to the next whole event, its framing included: twice the longest event.
+const MOST_EVENT_BYTES: usize = 2 * LONGEST_EVENT_BYTES;
 /// Shortest such pause.
 const LEAST_STALL: Duration = Duration::from_millis(1_200);
 
@@ -37,6 +39,8 @@
     run: PlacedRun,
     connection: EndpointConnection,
     body: Incoming,
+    /// Time for which an event was waited for. What the caller takes to read doesn't count.
+    waited: Duration,
 }
 
 /// What reading on came to.
@@ -52,12 +56,7 @@
 
 /// Builds the reply that streams the endpoint's events.
 pub(crate) fn relay_events(job: ForwardJob, answer: EndpointAnswer) -> Response<EdgeBody> {
-    let EndpointAnswer {
-        run,
-        connection,
-        response,
-    } = answer;
-    let (parts, body) = response.into_parts();
+    let (source, parts) = RelaySource::new(answer);
     let resumed_from = headers::text(
         &job.headers,
         &http::HeaderName::from_static("last-event-id"),
@@ -65,11 +64,7 @@
     .and_then(|text| text.parse().ok());
     let state = RelayState {
         job,
-        source: Some(RelaySource {
-            run,
-            connection,
-            body,
-        }),
+        source: Some(source),
         splitter: EventSplitter::default(),
         last_id: resumed_from,
         rest: None,
@@ -84,6 +79,20 @@
     reply
 }
 
+impl RelaySource {
+    fn new(answer: EndpointAnswer) -> (Self, http::response::Parts) {
+        let (parts, body) = answer.response.into_parts();
+        answer.connection.allow_body(MOST_EVENT_BYTES);
+        let source = Self {
+            run: answer.run,
+            connection: answer.connection,
+            body,
+            waited: Duration::ZERO,
+        };
+        (source, parts)
+    }
+}
+
 async fn next_events(mut state: RelayState) -> std::io::Result<Option<(Bytes, RelayState)>> {
     loop {
         if let Some(rest) = state.rest.take() {
@@ -121,7 +130,8 @@
     loop {
         let now = Instant::now();
         let left = job.deadline.saturating_duration_since(now);
-        let stall = stall_limit(job, source);
+        // Bytes that end no event are no progress.
+        let stall = stall_limit(job, source).map(|stall| stall.saturating_sub(source.waited));
         let limit = stall.map_or(left, |stall| stall.min(left));
         let frame = match compio::time::timeout(limit, source.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
@@ -130,10 +140,16 @@
             Err(_) if limit < left => return RelayStep::Broken(RunEnd::Stalled),
             Err(_) => return RelayStep::Timeout,
         };
+        source.waited += now.elapsed();
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
-        if let Some(events) = splitter.push(chunk) {
+        let Ok(pushed) = splitter.push(&chunk) else {
+            return RelayStep::Broken(RunEnd::Broken);
+        };
+        if let Some(events) = pushed {
+            source.waited = Duration::ZERO;
+            source.connection.allow_body(MOST_EVENT_BYTES);
             source.run.note_events(events.count);
             job.first_byte.get_or_insert_with(|| job.arrived.elapsed());
             *last_id = events.last_id.or(*last_id);
@@ -190,11 +206,7 @@
         let sending = send_job(&mut state.job, run, state.last_id);
         match compio::time::timeout(left, sending).await {
             Ok(Ok(answer)) if answer.response.status().is_success() => {
-                state.source = Some(RelaySource {
-                    run: answer.run,
-                    connection: answer.connection,
-                    body: answer.response.into_body(),
-                });
+                state.source = Some(RelaySource::new(answer).0);
                 return Ok(());
             }
             Ok(Ok(answer)) => {
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -532,6 +532,14 @@
             log::info!(before = before, version = version; "config: in force");
             let routing = state.catalog.routing();
             state.caps.configure(routing.workspaces(), now);
+            for workspace in routing.workspaces() {
+                if let Some(cap) = workspace.cap {
+                    log::debug!(
+                        workspace = workspace.name.as_str(), rate_per_s = cap.rate_per_s, burst = cap.burst;
+                        "usage: cap in force"
+                    );
+                }
+            }
             routing.services().cloned().collect()
         };
         self.schedule(SchedulerEvent::ServicesChanged(services));
--- a/gateway/tests/streams_and_removals.rs
+++ b/gateway/tests/streams_and_removals.rs
@@ -5,7 +5,6 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use gateway::catalog::RemovalHold;
 use gateway::edge::EventSplitter;
 use seeds::check_seeds;
@@ -28,7 +27,10 @@
             let length = source.int_in_range(1..=rest.len().min(40))?;
             let (chunk, after) = rest.split_at(length);
             rest = after;
-            if let Some(events) = splitter.push(Bytes::copy_from_slice(chunk)) {
+            if let Some(events) = splitter
+                .push(Bytes::copy_from_slice(chunk))
+                .expect("short events")
+            {
                 assert!(events.bytes.ends_with(b"\n\n"));
                 last_id = events.last_id;
                 passed.extend_from_slice(&events.bytes);
@@ -47,12 +49,12 @@
 #[test]
 fn a_half_event_is_dropped_before_a_resume() {
     let mut splitter = EventSplitter::default();
-    let cut = splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
-    assert_eq!(cut.expect("one event").last_id, Some(1));
+    let cut = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(cut.expect("short").expect("one event").last_id, Some(1));
     splitter.clear();
-    let resumed = splitter.push(Bytes::from_static(b"id: 2\ndata: b\n\n"));
+    let resumed = splitter.push(b"id: 2\ndata: b\n\n");
     assert_eq!(
-        &resumed.expect("one event").bytes[..],
+        &resumed.expect("short").expect("one event").bytes[..],
         b"id: 2\ndata: b\n\n"
     );
 }
