--- a/gateway/src/catalog/routing.rs
+++ b/gateway/src/catalog/routing.rs
@@ -85,6 +85,20 @@
     pub cold_rate_per_s: f64,
     /// Runs requests in batches and reads prompts.
     pub model_engine: bool,
+    /// Tokens in one event of a stream, where the deployment says so.
+    pub tokens_per_event: Option<u32>,
+}
+
+/// Tokens in one event where the deployment doesn't say.
+const USUAL_EVENT_TOKENS: u32 = 7;
+
+impl ServiceEntry {
+    /// Events of a stream of so many tokens.
+    #[must_use]
+    pub fn events(&self, tokens: u32) -> f64 {
+        let per_event = self.tokens_per_event.unwrap_or(USUAL_EVENT_TOKENS);
+        f64::from(tokens) / f64::from(per_event.max(1))
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -7,7 +7,7 @@
 use crate::catalog::EndpointEntry;
 use crate::ids::{RouteName, TicketNumber};
 use crate::rollouts::VersionRun;
-use crate::scheduler::{RefusalReason, RunEnd, SchedulerEvent, TOKENS_PER_EVENT, WorkItem};
+use crate::scheduler::{RefusalReason, RunEnd, SchedulerEvent, WorkItem};
 
 /// What the scheduler decided.
 #[derive(Debug)]
@@ -45,7 +45,11 @@
 ) -> Result<PlacedRun, (RefusalReason, Duration)> {
     let (ticket, decision) = edge.open_ticket();
     item.ticket = ticket;
-    let expected = f64::from(item.output_tokens);
+    let expected = {
+        let routing = edge.state.borrow().catalog.routing();
+        let service = routing.service(&item.service);
+        service.map_or(0.0, |service| service.events(item.output_tokens))
+    };
     let mut guard = WaitGuard {
         edge: Rc::clone(edge),
         ticket,
@@ -81,7 +85,7 @@
     pub endpoint: Rc<EndpointEntry>,
     ticket: TicketNumber,
     route: RouteName,
-    /// Output tokens that were expected.
+    /// Events that were expected.
     expected: f64,
     placed: Instant,
     ended: bool,
@@ -123,7 +127,7 @@
         let units = if self.events > 0 {
             f64::from(self.events)
         } else {
-            self.expected / TOKENS_PER_EVENT
+            self.expected
         };
         Some(VersionRun {
             service: self.endpoint.service.clone(),
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -247,7 +247,8 @@
         if watches {
             return FeedDuty::Watch;
         }
-        match state.marks.fresh_peer(topic, now) {
+        let relayed = state.plan.is_relayed();
+        match state.marks.fresh_peer(topic, relayed, now) {
             None => FeedDuty::Watch,
             Some(mark) if mark > next => FeedDuty::Fetch,
             Some(_) => FeedDuty::Rest,
--- a/gateway/src/membership/feed_marks.rs
+++ b/gateway/src/membership/feed_marks.rs
@@ -39,6 +39,8 @@
 /// Age up to which a peer's mark saves a call to the store. News must be in force two seconds
 /// after the store has them: this age, a beat and a read stay below that.
 const FRESH_MARK: Duration = Duration::from_millis(1_100);
+/// The same of a host that hears of marks through hubs, two datagrams later.
+const FRESH_RELAYED_MARK: Duration = Duration::from_millis(1_500);
 
 /// Time without an answer after which a host can't say that the store was there. Readers ask at
 /// least every 0.8 s.
@@ -139,12 +141,19 @@
 
     /// The furthest place that a peer has seen lately; `None` when no peer has asked the store
     /// lately.
+    ///
+    /// `relayed`: hubs pass marks on.
     #[must_use]
-    pub fn fresh_peer(&self, topic: FeedTopic, now: Instant) -> Option<u64> {
+    pub fn fresh_peer(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Option<u64> {
+        let fresh_for = if relayed {
+            FRESH_RELAYED_MARK
+        } else {
+            FRESH_MARK
+        };
         let marks = self.peers.values().flatten();
         let fresh = marks.filter(|(mark, heard)| {
             let age = Duration::from_millis(mark.age_ms.into()) + now.duration_since(*heard);
-            mark.topic == topic && age <= FRESH_MARK
+            mark.topic == topic && age <= fresh_for
         });
         fresh.map(|(mark, _)| mark.next).max()
     }
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -11,8 +11,6 @@
 use crate::configs::SchedulerSettings;
 use crate::ids::{VersionName, ZoneName};
 
-/// Tokens in one event of a stream, about; an event holds several.
-pub(crate) const TOKENS_PER_EVENT: f64 = 7.0;
 /// Factor on the expected time of an answer: expectations are off by half in both directions.
 const FINISH_MARGIN: f64 = 1.3;
 /// Requests beyond its slots that a plain service is given: it queues a few, and they are short.
@@ -70,6 +68,7 @@
     now: Instant,
 ) -> EndpointChoice {
     let engine = service.is_some_and(|service| service.model_engine);
+    let events = service.map_or(0.0, |service| service.events(item.output_tokens));
     let mut best: Option<(f64, usize)> = None;
     let mut second_best: Option<(f64, usize)> = None;
     let mut last_resort: Option<(f64, usize)> = None;
@@ -87,7 +86,7 @@
             continue;
         }
         usable = true;
-        let late = engine && !finishes_in_time(load, item, now);
+        let late = engine && !finishes_in_time(load, item, events, now);
         in_time |= !late;
         if !has_room(load, engine, settings, now) {
             continue;
@@ -103,7 +102,8 @@
             (1.0, bounds.looked_at)
         };
         let noise = 1.0 + spread * draw();
-        let cost = expected_cost(load, item, engine, settings, now) * distance * noise;
+        let events = engine.then_some(events);
+        let cost = expected_cost(load, item, events, settings, now) * distance * noise;
         let slot = match draw() < looked_at {
             _ if late => &mut last_resort,
             true => &mut best,
@@ -125,8 +125,7 @@
 }
 
 /// Whether an endpoint writes the expected answer before the request's time is over.
-fn finishes_in_time(load: &EndpointLoad, item: &WorkItem, now: Instant) -> bool {
-    let events = f64::from(item.output_tokens) / TOKENS_PER_EVENT;
+fn finishes_in_time(load: &EndpointLoad, item: &WorkItem, events: f64, now: Instant) -> bool {
     let reading = load.pace.first_byte_ms(weighted_tokens(item.prompt_tokens));
     let expected = reading + FINISH_MARGIN * events * load.pace.event_ms();
     let left = item.deadline.saturating_duration_since(now);
@@ -156,24 +155,25 @@
 
 /// Expected cost in milliseconds: the time to the first byte, what the run costs others, and
 /// what is lost if the endpoint fails.
+///
+/// `events`: expected events of the answer of a model engine; `None` for a plain service.
 fn expected_cost(
     load: &EndpointLoad,
     item: &WorkItem,
-    engine: bool,
+    events: Option<f64>,
     settings: &SchedulerSettings,
     now: Instant,
 ) -> f64 {
     let active = f64::from(load.active(settings.peer_expiry, now));
     let slots = f64::from(load.entry.slots.max(1));
     let failure = load.health.failure_share(settings, now) * settings.failure_penalty_ms;
-    if !engine {
+    let Some(events) = events else {
         return load.pace.answer_ms() * (1.0 + active / slots) + failure;
-    }
+    };
     let own = weighted_tokens(item.prompt_tokens);
     let ahead = load.unread_tokens(settings.peer_expiry, now);
     let first_byte = load.pace.first_byte_ms(ahead + own);
     let interference = settings.interference_weight * load.pace.read_ms(own) * active;
-    let events = f64::from(item.output_tokens) / TOKENS_PER_EVENT;
     let crowding = 1.0 + active / slots;
     let decode = settings.decode_weight * events * load.pace.event_ms() * crowding;
     first_byte + interference + decode + failure
--- a/gateway/src/scheduler/mod.rs
+++ b/gateway/src/scheduler/mod.rs
@@ -11,7 +11,6 @@
 mod types;
 mod version_shares;
 
-pub(crate) use choice::TOKENS_PER_EVENT;
 pub use state::SchedulerState;
 pub use types::{
     EndpointReport, PaceReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem,
