Compare silent hosts with those of their cell, and call others to find a hub

Cause: gateway/tests/large_fleet.rs: after the loss of all hubs two cells dropped each other's hosts as silent beside the rest and never met again (227 of 284 hosts heard after 8 s); hubs that told each other whom they hear kept dead hosts alive. Change: silence is judged within a cell, hubs take no list of living hosts from each other, and a host without a hub calls those of its cell, four a beat.

--- a/gateway/src/edge/exchange.rs
+++ b/gateway/src/edge/exchange.rs
@@ -149,7 +149,10 @@
             for line in summary.members {
                 state.members.note_line(line, now);
             }
-            state.members.note_alive(&summary.alive, now);
+            // Hubs that told each other whom they hear would keep the dead alive.
+            if !self.settings.is(&state.plan.hubs) {
+                state.members.note_alive(&summary.alive, now);
+            }
             state.members.note_itself(hub, now);
             awaited |= state.marks.note_peer(hub, summary.marks, now);
             // Usage counts from every hub: the loss of one must not hide any.
@@ -212,17 +215,8 @@
     pub(crate) fn beat_targets(&self) -> Vec<HostAddress> {
         let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
-        if !state.plan.is_relayed() {
-            return state.members.targets(now);
-        }
-        let mut targets = state.plan.hubs.clone();
-        if !self.settings.is(&targets) && !state.hub_choice.is_following(now) {
-            targets.extend(state.members.next_called(now));
-            targets.sort_unstable();
-            targets.dedup();
-        }
-        targets.retain(|host| *host != self.settings.host);
-        targets
+        let follows = state.hub_choice.is_following(now);
+        state.members.beat_targets(&state.plan, follows, now)
     }
 
     /// Whether this host is a hub.
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -4,7 +4,7 @@
 
 use super::beat::PeerBeat;
 use super::hubs::MemberLine;
-use super::relay_plan::{RelayCandidate, RelayPlan};
+use super::relay_plan::{MOST_CELL_HOSTS, RelayCandidate, RelayPlan};
 use crate::ids::{FastMap, HostAddress, ZoneName};
 
 /// A host that is silent for longer is not named to callers: eight missed beats. Callers must
@@ -18,10 +18,11 @@
 /// After this silence a host counts as gone for good, if most hosts can be heard.
 const GONE_AFTER: Duration = Duration::from_secs(15);
 /// A hub that was mute for longer may be relied on again.
-const MUTE_PAUSE: Duration = Duration::from_secs(5);
-/// When one in so many hosts was heard, those that were not are silent themselves. One datagram of
-/// another host, which may have come past the hubs, says nothing yet.
-const FRESH_PART: usize = 4;
+const MUTE_PAUSE: Duration = Duration::from_secs(10);
+/// When one in so many hosts of a cell was heard, those that were not are silent themselves.
+const FRESH_PART: usize = 10;
+/// The same in a small cell: a few datagrams that came past the hubs say nothing yet.
+const LEAST_FRESH: usize = 3;
 /// Hosts that are called beside the hubs while none is followed: enough to find one, and bounded
 /// whatever the size of the fleet.
 const MOST_CALLED: usize = 4;
@@ -35,6 +36,8 @@
     heard_itself: Option<Instant>,
     /// Since when this host relies on it as a hub.
     relied_since: Option<Instant>,
+    /// When this host called it to find a hub; `None` once it answered.
+    called: Option<Instant>,
     introduced: Instant,
 }
 
@@ -104,6 +107,7 @@
             heard: None,
             heard_itself: None,
             relied_since: None,
+            called: None,
             introduced: now,
         });
         if member.heard.is_none() && !zone.is_empty() {
@@ -127,6 +131,7 @@
     pub fn note_itself(&mut self, host: HostAddress, now: Instant) {
         if let Some(member) = self.members.get_mut(&host) {
             member.heard_itself = Some(now);
+            member.called = None;
         }
     }
 
@@ -182,16 +187,31 @@
     ///
     /// `own_cpu_permille`: size of this host.
     pub fn plan(&mut self, own_zone: &ZoneName, own_cpu_permille: u32, now: Instant) -> RelayPlan {
-        let fresh_since = self.fresh_since(now);
-        let mut known: Vec<RelayCandidate> = self
-            .members
-            .iter()
-            .filter(|(_, member)| !member.line.leaving && is_recent(member, now))
-            .map(|(host, member)| RelayCandidate {
-                host: *host,
-                zone: member.line.zone.clone(),
-                cpu_permille: member.line.cpu_permille,
-                eligible: !is_silent_beside(member, fresh_since) && !is_mute_hub(member, now),
+        let recent = || {
+            self.members
+                .iter()
+                .filter(|(_, member)| !member.line.leaving && is_recent(member, now))
+        };
+        let divided = recent().count() >= MOST_CELL_HOSTS;
+        let cell_of = |member: &MemberEntry| divided.then(|| member.line.zone.clone());
+        let mut heard: FastMap<Option<ZoneName>, Vec<Instant>> = FastMap::default();
+        for (_, member) in recent() {
+            let times = heard.entry(cell_of(member)).or_default();
+            times.push(heard_or_named(member));
+        }
+        let fresh_since: FastMap<_, _> = heard
+            .into_iter()
+            .map(|(cell, times)| (cell, fresh_since(times)))
+            .collect();
+        let mut known: Vec<RelayCandidate> = recent()
+            .map(|(host, member)| {
+                let since = fresh_since.get(&cell_of(member)).copied().flatten();
+                RelayCandidate {
+                    host: *host,
+                    zone: member.line.zone.clone(),
+                    cpu_permille: member.line.cpu_permille,
+                    eligible: !is_silent_beside(member, since) && !is_mute_hub(member, now),
+                }
             })
             .collect();
         known.push(RelayCandidate {
@@ -206,28 +226,16 @@
             let relied = plan.hubs.contains(host) || is_hub && plan.other_hubs.contains(host);
             if relied {
                 member.relied_since.get_or_insert(now);
-            } else if !is_mute_hub(member, now) || hub_silence(member, now) > MUTE_PAUSE {
+            } else if hub_silence(member, now) > MUTE_PAUSE {
+                member.relied_since = None;
+                member.called = None;
+            } else if !is_mute_hub(member, now) {
                 member.relied_since = None;
             }
         }
         plan
     }
 
-    /// Since when many hosts have been heard, so that a host that wasn't is silent itself.
-    fn fresh_since(&self, now: Instant) -> Option<Instant> {
-        let recent = self
-            .members
-            .values()
-            .filter(|member| is_recent(member, now));
-        let mut heard: Vec<_> = recent.map(heard_or_named).collect();
-        let many = heard.len() / FRESH_PART;
-        if heard.is_empty() {
-            return None;
-        }
-        let (_, since, _) = heard.select_nth_unstable_by(many, |a, b| b.cmp(a));
-        Some(*since)
-    }
-
     /// Hosts to which beats go while all tell each other directly: few by definition.
     #[must_use]
     pub fn targets(&self, now: Instant) -> Vec<HostAddress> {
@@ -247,8 +255,40 @@
         wanted.map(|(host, _)| *host).collect()
     }
 
-    /// A few hosts that may know a hub, others each time.
-    pub fn next_called(&mut self, now: Instant) -> Vec<HostAddress> {
+    /// Hosts to which this host's next beat goes. `follows`: it hears a hub.
+    pub fn beat_targets(
+        &mut self,
+        plan: &RelayPlan,
+        follows: bool,
+        now: Instant,
+    ) -> Vec<HostAddress> {
+        if !plan.is_relayed() {
+            return self.targets(now);
+        }
+        let mut targets = plan.hubs.clone();
+        if !follows && !plan.hubs.contains(&self.own) {
+            targets.extend(self.next_called(plan.cell.as_ref(), now));
+            targets.sort_unstable();
+            targets.dedup();
+        }
+        targets.retain(|host| *host != self.own);
+        targets
+    }
+
+    /// A few hosts that may know a hub: those of the own cell that were not called yet, then others.
+    fn next_called(&mut self, cell: Option<&ZoneName>, now: Instant) -> Vec<HostAddress> {
+        let mut near = self.cell_members(cell, now);
+        near.retain(|host| self.members[host].called.is_none());
+        near.sort_unstable();
+        near.truncate(MOST_CALLED);
+        for host in &near {
+            if let Some(member) = self.members.get_mut(host) {
+                member.called = Some(now);
+            }
+        }
+        if !near.is_empty() {
+            return near;
+        }
         let mut known = self.targets(now);
         known.sort_unstable();
         let count = known.len();
@@ -258,7 +298,7 @@
         called.collect()
     }
 
-    /// The hosts that relay in a zone, as lines that introduce them.
+    /// What is known of these hosts, to introduce them to another.
     #[must_use]
     pub fn lines_of(&self, hosts: &[HostAddress]) -> Vec<MemberLine> {
         let known = hosts.iter().filter_map(|host| self.members.get(host));
@@ -339,7 +379,19 @@
     now.duration_since(heard_or_named(member)) <= UNHEARD_LIMIT
 }
 
-/// Whether many others were heard later, by a time in which it would have been heard too. When a
+/// Since when many of the hosts of a cell have been heard, so that one that wasn't is silent itself.
+fn fresh_since(mut heard: Vec<Instant>) -> Option<Instant> {
+    if heard.is_empty() {
+        return None;
+    }
+    let many = (heard.len() / FRESH_PART)
+        .max(LEAST_FRESH)
+        .min(heard.len() - 1);
+    let (_, since, _) = heard.select_nth_unstable_by(many, |a, b| b.cmp(a));
+    Some(*since)
+}
+
+/// Whether many others of its cell were heard later, by a time in which it would have been heard too. When a
 /// hub falls silent all its hosts do, and all stay eligible.
 fn is_silent_beside(member: &MemberEntry, fresh_since: Option<Instant>) -> bool {
     let heard = heard_or_named(member);
@@ -353,10 +405,14 @@
 
 /// For how long this host has relied on it and heard nothing of it.
 fn hub_silence(member: &MemberEntry, now: Instant) -> Duration {
-    member.relied_since.map_or(Duration::ZERO, |since| {
+    let relied = member.relied_since.map(|since| {
         let last = member.heard_itself.map_or(since, |heard| heard.max(since));
         now.saturating_duration_since(last)
-    })
+    });
+    let called = member
+        .called
+        .map(|called| now.saturating_duration_since(called));
+    relied.max(called).unwrap_or_default()
 }
 
 fn heard_or_named(member: &MemberEntry) -> Instant {
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -96,7 +96,9 @@
         } else {
             settings.plain_noise
         };
-        let (distance, looked_at) = if is_far(bounds.cell, &load.entry) {
+        // Answers of plain services are shorter than the time in which loads become known, near or
+        // far, and a service has few endpoints: all of them are taken in turn.
+        let (distance, looked_at) = if engine && is_far(bounds.cell, &load.entry) {
             (settings.far_factor, bounds.far_looked_at)
         } else {
             (1.0, bounds.looked_at)
