--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -248,7 +248,7 @@
             return FeedDuty::Watch;
         }
         let relayed = state.plan.is_relayed();
-        match state.marks.fresh_peer(topic, relayed, now) {
+        match state.marks.fresh(topic, relayed, now) {
             None => FeedDuty::Watch,
             Some(mark) if mark > next => FeedDuty::Fetch,
             Some(_) => FeedDuty::Rest,
--- a/gateway/src/membership/feed_marks.rs
+++ b/gateway/src/membership/feed_marks.rs
@@ -139,23 +139,26 @@
         })
     }
 
-    /// The furthest place that a peer has seen lately; `None` when no peer has asked the store
-    /// lately.
+    /// The furthest place that this host or a peer has seen lately; `None` when none has asked the
+    /// store lately.
     ///
     /// `relayed`: hubs pass marks on.
     #[must_use]
-    pub fn fresh_peer(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Option<u64> {
+    pub fn fresh(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Option<u64> {
         let fresh_for = if relayed {
             FRESH_RELAYED_MARK
         } else {
             FRESH_MARK
         };
+        let own = self.own.get(&topic);
+        let own = own.filter(|own| now.duration_since(own.read) <= fresh_for);
         let marks = self.peers.values().flatten();
         let fresh = marks.filter(|(mark, heard)| {
             let age = Duration::from_millis(mark.age_ms.into()) + now.duration_since(*heard);
             mark.topic == topic && age <= fresh_for
         });
-        fresh.map(|(mark, _)| mark.next).max()
+        let peers = fresh.map(|(mark, _)| mark.next);
+        peers.chain(own.map(|own| own.next)).max()
     }
 }
 
--- a/gateway/tests/large_fleet.rs
+++ b/gateway/tests/large_fleet.rs
@@ -328,11 +328,13 @@
     }
 }
 
+type HostFilter = fn(&FleetHost) -> bool;
+
 /// Guards against a fleet that stays in a storm, or apart, after its hubs, a zone, or most of its
 /// hosts are gone: it must come back by itself.
 #[test]
 fn a_large_fleet_gets_over_the_loss_of_its_hubs() {
-    let losses: [(&str, fn(&FleetHost) -> bool); 4] = [
+    let losses: [(&str, HostFilter); 4] = [
         ("all hubs", FleetHost::is_hub),
         ("all large hosts", |host| host.line.cpu_permille > 120),
         ("a zone", |host| host.line.zone == "c"),
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -83,7 +83,7 @@
 fn old_marks_of_peers_save_no_call() {
     let now = Instant::now();
     let mut marks = FeedMarks::default();
-    assert_eq!(marks.fresh_peer(FeedTopic::Operators, false, now), None);
+    assert_eq!(marks.fresh(FeedTopic::Operators, false, now), None);
     let mark = |next, age_ms| FeedMark {
         reached_ms: 0,
         topic: FeedTopic::Operators,
@@ -92,11 +92,16 @@
     };
     marks.note_peer(host(2), vec![mark(7, 100)], now);
     marks.note_peer(host(3), vec![mark(9, 5_000)], now);
-    assert_eq!(marks.fresh_peer(FeedTopic::Operators, false, now), Some(7));
-    assert_eq!(marks.fresh_peer(FeedTopic::Endpoints, false, now), None);
+    assert_eq!(marks.fresh(FeedTopic::Operators, false, now), Some(7));
+    assert_eq!(marks.fresh(FeedTopic::Endpoints, false, now), None);
     let later = now + Duration::from_millis(1_100);
-    assert_eq!(marks.fresh_peer(FeedTopic::Operators, false, later), None);
+    assert_eq!(marks.fresh(FeedTopic::Operators, false, later), None);
     assert_eq!(marks.own(now), []);
+    // What this host has read itself saves a call as well: a fleet that starts listed everything.
+    marks.note_own(FeedTopic::Operators, 4, later);
+    assert_eq!(marks.fresh(FeedTopic::Operators, false, later), Some(4));
+    let after = later + Duration::from_millis(1_200);
+    assert_eq!(marks.fresh(FeedTopic::Operators, false, after), None);
 }
 
 /// Guards against a duty that nobody does after the host that had it is gone, and against one that
--- a/gateway/tests/streams_and_removals.rs
+++ b/gateway/tests/streams_and_removals.rs
@@ -27,10 +27,7 @@
             let length = source.int_in_range(1..=rest.len().min(40))?;
             let (chunk, after) = rest.split_at(length);
             rest = after;
-            if let Some(events) = splitter
-                .push(Bytes::copy_from_slice(chunk))
-                .expect("short events")
-            {
+            if let Some(events) = splitter.push(chunk).expect("short events") {
                 assert!(events.bytes.ends_with(b"\n\n"));
                 last_id = events.last_id;
                 passed.extend_from_slice(&events.bytes);
