Split the states of a host and of its scheduler by what they decide

Change: news of the store, other hosts, changes of the catalog and the loads of others have files of their own; code moved unchanged. Conclusion: no change of behaviour.

--- /dev/null
+++ b/gateway/src/edge/hosts.rs
@@ -0,0 +1,84 @@
+//! Other hosts as this one knows them: whom it tells what, and whom it names to callers.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::state::Edge;
+use crate::ids::{HostAddress, ZoneName};
+use crate::membership::name_hosts;
+use crate::scheduler::SchedulerEvent;
+
+impl Edge {
+    /// Adds a host that registered itself with its zone and size; either may be unknown.
+    pub fn introduce_host(&self, host: HostAddress, zone: ZoneName, cpu_permille: u32) {
+        let members = &mut self.state.borrow_mut().members;
+        members.introduce_sized(host, zone, cpu_permille, Instant::now());
+    }
+
+    /// Zone and size of this host, for its registration.
+    #[must_use]
+    pub fn own_size(&self) -> (&ZoneName, u32) {
+        (&self.settings.zone, self.settings.cpu_permille)
+    }
+
+    /// Whether this host should look for others in the store: it finds none that relay to it, or
+    /// it is one that relays and should know of all.
+    #[must_use]
+    pub fn seeks_hosts(&self) -> bool {
+        let state = self.state.borrow();
+        !state.hub_choice.is_following(Instant::now()) || self.settings.is(&state.plan.hubs)
+    }
+
+    /// Works out anew whom this host tells what.
+    pub(super) fn plan_relay(&self, now: Instant) {
+        let settings = &self.settings;
+        let cell = {
+            let state = &mut *self.state.borrow_mut();
+            let plan = state
+                .members
+                .plan(&settings.zone, settings.cpu_permille, now);
+            if plan == state.plan {
+                return;
+            }
+            log::info!(
+                cell = plan.cell.as_deref().unwrap_or("-"), hubs = format!("{:?}", plan.hubs).as_str(),
+                other_hubs = plan.other_hubs.len(), readers = format!("{:?}", plan.readers).as_str();
+                "hubs: plan changed"
+            );
+            let cell = plan.cell.clone();
+            let changed = cell != state.plan.cell;
+            state.plan = plan;
+            if !changed {
+                return;
+            }
+            cell
+        };
+        self.schedule(SchedulerEvent::CellChanged(cell));
+    }
+
+    /// Control addresses of hosts that can be heard.
+    #[must_use]
+    pub fn control_peers(&self) -> Vec<SocketAddr> {
+        let Some(own) = self.settings.control else {
+            return Vec::new();
+        };
+        let state = self.state.borrow();
+        let peers = state.members.audible(usize::MAX, Instant::now());
+        peers
+            .into_iter()
+            .map(|host| (host, own.port()).into())
+            .collect()
+    }
+
+    /// Addresses that a caller of this zone may use: hosts that answer, this one among them.
+    pub(crate) fn directory(&self, zone: Option<&ZoneName>, most: usize) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let port = self.settings.callers.port();
+        let own = (self.settings.host, self.settings.zone.clone());
+        let own = self.is_ready().then_some(own);
+        let peers = self.state.borrow().members.serving(now);
+        let serving = own.into_iter().chain(peers).collect();
+        let named = name_hosts(serving, zone, most, &mut *self.random.borrow_mut());
+        named.into_iter().map(|host| (host, port).into()).collect()
+    }
+}
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod admit;
 mod body;
+mod catalog_changes;
 mod connection_pool;
 mod dialect;
 mod directory;
@@ -12,6 +13,7 @@
 mod exchange;
 mod forward;
 mod headers;
+mod hosts;
 mod metrics;
 mod peers;
 mod placement;
@@ -21,6 +23,7 @@
 mod run;
 mod settings;
 mod state;
+mod store_news;
 
 pub use dialect::{CatalogArchive, HeaderNames, WireDialect};
 pub use directory::CATALOG_PATH;
--- /dev/null
+++ b/gateway/src/edge/store_news.rs
@@ -0,0 +1,96 @@
+//! What this host knows of the store, and how news of it reach this host and others.
+
+use std::time::Instant;
+
+use futures_channel::oneshot;
+
+use super::state::Edge;
+use crate::membership::{FeedDuty, FeedNews, FeedTopic, STORE_READERS};
+
+impl Edge {
+    /// The store answered.
+    pub fn note_store_answered(&self) {
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        if !state.store_reached {
+            log::info!(config_version = state.catalog.version(); "store: reached");
+        }
+        state.store_reached = true;
+        state.removals.note_store_answered(now);
+    }
+
+    /// This host has read a topic of the store up to `next`.
+    pub fn note_feed(&self, topic: FeedTopic, next: u64, moved: bool) {
+        let state = &mut *self.state.borrow_mut();
+        state.marks.note_own(topic, next, Instant::now());
+        state.marks_moved |= moved;
+    }
+
+    /// What this host has to do to learn of news after `next`.
+    #[must_use]
+    pub fn feed_duty(&self, topic: FeedTopic, next: u64) -> FeedDuty {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let watches = if state.plan.is_relayed() {
+            // Hubs tell all others what they have read.
+            self.settings.is(&state.plan.readers)
+        } else {
+            state.members.has_duty(STORE_READERS, now)
+        };
+        if watches {
+            return FeedDuty::Watch;
+        }
+        let relayed = state.plan.is_relayed();
+        match state.marks.fresh(topic, relayed, now) {
+            None => FeedDuty::Watch,
+            Some(mark) if mark > next => FeedDuty::Fetch,
+            Some(_) => FeedDuty::Rest,
+        }
+    }
+
+    /// Passes on what this host has read from the store, if others rely on it.
+    pub fn tell_news(&self, news: FeedNews) {
+        if self.is_hub() {
+            self.state.borrow_mut().news_to_tell.push(news);
+        }
+    }
+
+    /// Takes what hubs have read from a topic of the store; `None` where nobody passes it on.
+    #[must_use]
+    pub fn take_news(&self, topic: FeedTopic) -> Option<Vec<FeedNews>> {
+        let heard = self.state.borrow_mut().news_heard.take(topic);
+        self.is_relayed().then_some(heard)
+    }
+
+    /// Completes when a datagram has told of news of the store.
+    pub async fn next_news(&self) {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let waiters = &mut self.state.borrow_mut().news_waiters;
+            waiters.retain(|waiter| !waiter.is_canceled());
+            waiters.push(sender);
+        }
+        // A sender that is dropped ends the wait as well.
+        let _ = receiver.await;
+    }
+
+    /// The store refused, broke or gave no answer.
+    pub fn note_store_failed(&self, cause: &str) {
+        let state = &mut *self.state.borrow_mut();
+        if state.store_reached {
+            log::warn!(config_version = state.catalog.version(), cause = cause; "store: lost");
+        }
+        state.store_reached = false;
+        state.removals.note_store_failed();
+        state.marks.note_failed(Instant::now());
+    }
+
+    /// Wakes what waits for news of the store.
+    pub(crate) fn wake_for_news(&self) {
+        let waiters = std::mem::take(&mut self.state.borrow_mut().news_waiters);
+        for waiter in waiters {
+            // Its receiver may have stopped to wait.
+            let _ = waiter.send(());
+        }
+    }
+}
--- a/gateway/src/scheduler/mod.rs
+++ b/gateway/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_load;
 mod pace;
 mod queue;
+mod shared_load;
 mod state;
 mod tier_shares;
 mod types;
