--- a/gateway/src/edge/store_news.rs
+++ b/gateway/src/edge/store_news.rs
@@ -48,9 +48,15 @@
         }
     }
 
+    /// Whether others rely on what this host reads from the store.
+    #[must_use]
+    pub fn tells_news(&self) -> bool {
+        self.is_hub()
+    }
+
     /// Passes on what this host has read from the store, if others rely on it.
     pub fn tell_news(&self, news: FeedNews) {
-        if self.is_hub() {
+        if self.tells_news() {
             self.state.borrow_mut().news_to_tell.push(news);
         }
     }
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -354,7 +354,7 @@
     }
     largest
         .news
-        .push(news(FeedTopic::Endpoints, u64::MAX - 1, 8 * 1024));
+        .push(news(FeedTopic::Endpoints, u64::MAX - 1, 32 * 1024));
     let bytes = PeerMessage::Summary(largest).encode().len();
     assert!(bytes <= MOST_DATAGRAM_BYTES, "{bytes} bytes");
 }
