--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -25,9 +25,9 @@
 use crate::rollouts::RolloutBoard;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
 
-/// Bytes of news in one summary: two reads of the store. The rest of it takes most of a datagram in
-/// the largest fleets. Hosts read themselves what finds no room.
-const MOST_TOLD_BYTES: usize = 16 * 1024;
+/// Bytes of news in one summary; the rest of it takes most of a datagram in the largest fleets.
+/// Hosts read longer answers of the store themselves.
+const MOST_TOLD_BYTES: usize = 8 * 1024;
 /// Bytes of news that wait for the readers of the topics, which look every 80 ms.
 const MOST_HEARD_BYTES: usize = 64 * 1024;
 
