Play caps over cells, with hubs that are lost

Cause: usage passes two hubs between zones, which no test of caps played. Change: limits.rs::cells_keep_a_cap_together: 20 to 100 hosts in 2 to 5 zones. Conclusion: none.

--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -12,7 +12,7 @@
 use gateway::limits::{
     CapTolerance, RetryBudget, RetryBudgetSettings, UsageCaps, UsageReport, UsageVerdict,
 };
-use gateway::membership::{HubTally, PeerBeat};
+use gateway::membership::{CellDigest, HubTally, PeerBeat};
 use seeds::check_seeds;
 
 const RATE: f64 = 10_000.0;
@@ -453,3 +453,112 @@
         assert!(units >= RATE * 2.0 * 0.7, "from {from} ms: {units}");
     }
 }
+
+/// Most units that the hosts of a fleet of several cells admitted within one window, and the units of
+/// all. Each zone has two hubs, which hear its hosts and tell those of the other zones; the first
+/// hub of each zone falls silent at `hub_lost`.
+fn cells_play(play: &RelayedPlay, zones: u8) -> (f64, f64) {
+    let start = Instant::now();
+    let zone = |number: u8| ["a", "b", "c", "d", "e"][usize::from(number % zones)];
+    let mut all: Vec<UsageCaps> = (0..play.hosts).map(|_| caps(start)).collect();
+    let mut hubs: Vec<(u8, u8, HubTally)> = (0..zones)
+        .flat_map(|zone| {
+            [
+                (zone, 0, HubTally::default()),
+                (zone, 1, HubTally::default()),
+            ]
+        })
+        .collect();
+    let mut asked = 0.0;
+    let mut turn = 0_u64;
+    let mut admitted: Vec<(u64, f64)> = Vec::new();
+    for step in 0..1_000_u64 {
+        let millis = step * 20;
+        let now = start + Duration::from_millis(millis);
+        asked += play.demand * RATE * 0.02;
+        while asked >= f64::from(play.request) {
+            asked -= f64::from(play.request);
+            turn += 7;
+            let index = usize::try_from(turn % u64::from(play.hosts)).expect("small");
+            let verdict = all[index].admit(&"w".into(), Some(play.request), true, now);
+            if verdict == UsageVerdict::Admitted {
+                admitted.push((millis, f64::from(play.request)));
+            }
+        }
+        let is_lost = |rank: u8| rank == 0 && millis >= play.hub_lost;
+        for (number, one) in (0..play.hosts).zip(&all) {
+            if (step + u64::from(number)).is_multiple_of(4) {
+                let mut told = usage_beat(number, step, one);
+                told.line.zone = zone(number).into();
+                for (of, rank, hub) in &mut hubs {
+                    if zone(*of) == zone(number) && !is_lost(*rank) {
+                        hub.note_beat(&told, now);
+                    }
+                }
+            }
+        }
+        if !step.is_multiple_of(5) {
+            continue;
+        }
+        let digests: Vec<_> = hubs
+            .iter()
+            .filter(|(_, rank, _)| !is_lost(*rank))
+            .map(|(of, rank, hub)| {
+                let cell = zone(*of).into();
+                let sums = hub.without(&hub.cell_totals(Some(&cell), now), Some(&cell), None);
+                CellDigest {
+                    hub: host(200 + 2 * of + rank),
+                    cell,
+                    incarnation: 1,
+                    number: step,
+                    loads: Vec::new(),
+                    usage: sums.usage,
+                    rollouts: Vec::new(),
+                    marks: Vec::new(),
+                    members: Vec::new(),
+                    paces: Vec::new(),
+                    news: Vec::new(),
+                }
+            })
+            .collect();
+        for (of, rank, hub) in &mut hubs {
+            if is_lost(*rank) {
+                continue;
+            }
+            let cell = zone(*of).into();
+            for digest in digests.iter().filter(|digest| digest.cell != cell) {
+                hub.note_digest(digest, now);
+            }
+            let totals = hub.totals(Some(&cell), now);
+            for (number, one) in (0..play.hosts).zip(&mut all) {
+                if zone(number) == zone(*of) {
+                    let usage = hub.without(&totals, Some(&cell), Some(host(number))).usage;
+                    one.note_hub(host(200 + 2 * *of + *rank), 1, &usage, now);
+                }
+            }
+        }
+    }
+    let units = admitted.iter().map(|(_, units)| units).sum();
+    (greatest_window(&admitted), units)
+}
+
+/// Guards against a fleet of several cells whose hubs count other cells' usage twice, late or not at
+/// all, and against one that gives less than the cap.
+#[test]
+fn cells_keep_a_cap_together() {
+    check_seeds(12, |source| {
+        let play = RelayedPlay {
+            hosts: source.int_in_range(20..=100_u8)?,
+            request: source.int_in_range(100..=600_u32)?,
+            demand: f64::from(source.int_in_range(5..=40_u8)?) / 10.0,
+            hub_lost: source.int_in_range(0..=1_000_u64)? * 20,
+        };
+        let zones = source.int_in_range(2..=5_u8)?;
+        let (worst, units) = cells_play(&play, zones);
+        assert!(worst <= allowed(), "{play:?}: {worst} of {}", allowed());
+        // Twenty seconds, less the first one in which buckets fill.
+        let owed = play.demand.min(1.0) * RATE * 19.0;
+        assert!(units >= 0.9 * owed, "{play:?}: {units} of {owed}");
+        Ok(())
+    });
+}
