Close what the proxy of the tests accepts in the moment of a cut

By reading: a connection in the listener's queue when the cut is set is accepted before the change is seen, and is served as if it came after the cut's end, since the count of ends is read then. Change: what is accepted while the route is cut is closed. Measured: the test passes; the race could not be brought about at will.

--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -181,6 +181,8 @@
                 }
             };
             match accepted {
+                // It was accepted in the moment of the cut; dropping it closes it.
+                Ok(_) if self.faults.borrow().cut => return,
                 Ok((client, _)) => {
                     compio::runtime::spawn(Rc::clone(self).serve_connection(client)).detach();
                 }
