--- a/gateway/src/edge/connection_pool.rs
+++ b/gateway/src/edge/connection_pool.rs
@@ -47,7 +47,7 @@
         self.connection.send(request).await
     }
 
-    /// Lets so many bytes more of the body be read.
+    /// Lets a body of so many bytes more be read.
     pub fn allow_body(&self, bytes: usize) {
         self.connection.allow_body(bytes);
     }
--- a/gateway/src/edge/exchange.rs
+++ b/gateway/src/edge/exchange.rs
@@ -5,7 +5,7 @@
 use super::state::Edge;
 use crate::ids::{FastMap, FastSet, HostAddress, Incarnation, NameHash, ZoneName};
 use crate::membership::{
-    BeatNews, CellDigest, FeedMark, FeedNews, HubSummary, HubTotals, MemberLine, PeerBeat,
+    BeatNews, CellDigest, FeedMark, FeedNews, HubSummary, HubSums, HubTotals, MemberLine, PeerBeat,
     SummaryNews,
 };
 use crate::scheduler::{EndpointReport, PaceReport, SchedulerEvent};
@@ -28,6 +28,8 @@
 pub(crate) struct SummaryRound {
     cell: Option<ZoneName>,
     totals: HubTotals,
+    /// The sums of the own cell, for the hubs of others; `None` in a fleet of one cell.
+    cell_sums: Option<HubSums>,
     /// The endpoints that are told of; `None` for all.
     near: Option<FastSet<NameHash>>,
     marks: Vec<FeedMark>,
@@ -150,7 +152,7 @@
                 state.members.note_line(line, now);
             }
             // Hubs that told each other whom they hear would keep the dead alive.
-            if !self.settings.is(&state.plan.hubs) {
+            if !self.settings.is_among(&state.plan.hubs) {
                 state.members.note_alive(&summary.alive, now);
             }
             state.members.note_itself(hub, now);
@@ -221,7 +223,7 @@
 
     /// Whether this host is a hub.
     pub(crate) fn is_hub(&self) -> bool {
-        self.settings.is(&self.state.borrow().plan.hubs)
+        self.settings.is_among(&self.state.borrow().plan.hubs)
     }
 
     /// Whether hubs relay what hosts tell each other.
@@ -256,8 +258,15 @@
         let own_news = state.news_to_tell.take_all();
         let passed = state.news_to_pass.take_all();
         let near = cell.as_ref().filter(|_| !parts.whole);
+        let tally = &state.tally;
+        let mut totals = tally.cell_totals(cell.as_ref(), now);
+        let cell_sums = cell
+            .as_ref()
+            .map(|cell| tally.without(&totals, Some(cell), None));
+        tally.add_cells(&mut totals, cell.as_ref());
         let mut round = SummaryRound {
-            totals: state.tally.totals(cell.as_ref(), now),
+            totals,
+            cell_sums,
             near: near.map(|zone| state.scheduler.endpoints_in(zone)),
             marks: state.marks.newest(now),
             members: Vec::new(),
@@ -305,13 +314,11 @@
     }
 
     /// Builds the digest for the hubs of other cells; `None` where there are none.
-    pub(crate) fn digest(&self, round: &SummaryRound) -> Option<CellDigest> {
-        let now = Instant::now();
+    pub(crate) fn digest(&self, round: &mut SummaryRound) -> Option<CellDigest> {
         let cell = round.cell.as_ref()?;
+        let sums = round.cell_sums.take()?;
         let state = &mut *self.state.borrow_mut();
         state.summary_number += 1;
-        let totals = state.tally.cell_totals(Some(cell), now);
-        let sums = state.tally.without(&totals, Some(cell), None);
         let of_cell = |line: &&MemberLine| line.zone == *cell;
         Some(CellDigest {
             cell: cell.clone(),
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -24,8 +24,6 @@
 
 /// Longest answer of a plain service that is held until it is whole.
 const MOST_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// Bytes of a body with its framing, as a multiple of those without: chunks may be small.
-const FRAMING_FACTOR: usize = 2;
 /// Wait that callers are told when endpoints refused unrun.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Most dispatches of one request, those included that did not run.
@@ -309,9 +307,7 @@
         job.first_byte = Some(job.arrived.elapsed());
         let (parts, body) = answer.response.into_parts();
         let failed = parts.status.is_server_error();
-        answer
-            .connection
-            .allow_body(FRAMING_FACTOR * MOST_ANSWER_BYTES);
+        answer.connection.allow_body(MOST_ANSWER_BYTES);
         let collecting = Limited::new(body, MOST_ANSWER_BYTES).collect();
         let collected = compio::time::timeout(body_limit(job), collecting).await;
         let Ok(Ok(collected)) = collected else {
--- a/gateway/src/edge/hosts.rs
+++ b/gateway/src/edge/hosts.rs
@@ -26,7 +26,7 @@
     #[must_use]
     pub fn seeks_hosts(&self) -> bool {
         let state = self.state.borrow();
-        !state.hub_choice.is_following(Instant::now()) || self.settings.is(&state.plan.hubs)
+        !state.hub_choice.is_following(Instant::now()) || self.settings.is_among(&state.plan.hubs)
     }
 
     /// Works out anew whom this host tells what.
--- a/gateway/src/edge/peers.rs
+++ b/gateway/src/edge/peers.rs
@@ -78,8 +78,8 @@
             paces: round.is_multiple_of(PACES_EVERY),
         };
         round = round.wrapping_add(1);
-        let told = edge.begin_summaries(parts);
-        if let Some(digest) = edge.digest(&told) {
+        let mut told = edge.begin_summaries(parts);
+        if let Some(digest) = edge.digest(&mut told) {
             let mut bytes = PeerMessage::Digest(digest).encode();
             for host in edge.digest_targets() {
                 bytes = send_one(&edge, &socket, host, bytes).await;
--- a/gateway/src/edge/relay.rs
+++ b/gateway/src/edge/relay.rs
@@ -20,8 +20,6 @@
 /// Pause between events after which a stream that may be resumed is, as a multiple of the pause
 /// that is still on time: callers give up at eight times that pause.
 const STALL_FACTOR: u32 = 4;
-/// Bytes that may be read up to the next whole event, its framing included: twice the longest event.
-const MOST_EVENT_BYTES: usize = 2 * LONGEST_EVENT_BYTES;
 /// Shortest such pause.
 const LEAST_STALL: Duration = Duration::from_millis(1_200);
 
@@ -82,7 +80,7 @@
 impl RelaySource {
     fn new(answer: EndpointAnswer) -> (Self, http::response::Parts) {
         let (parts, body) = answer.response.into_parts();
-        answer.connection.allow_body(MOST_EVENT_BYTES);
+        answer.connection.allow_body(LONGEST_EVENT_BYTES);
         let source = Self {
             run: answer.run,
             connection: answer.connection,
@@ -149,7 +147,7 @@
         };
         if let Some(events) = pushed {
             source.waited = Duration::ZERO;
-            source.connection.allow_body(MOST_EVENT_BYTES);
+            source.connection.allow_body(LONGEST_EVENT_BYTES);
             source.run.note_events(events.count);
             job.first_byte.get_or_insert_with(|| job.arrived.elapsed());
             *last_id = events.last_id.or(*last_id);
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -36,7 +36,7 @@
 
 impl EdgeSettings {
     /// Whether this host is among `hosts`.
-    pub(crate) fn is(&self, hosts: &[IpAddr]) -> bool {
+    pub(crate) fn is_among(&self, hosts: &[IpAddr]) -> bool {
         hosts.contains(&self.host)
     }
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -28,7 +28,7 @@
 /// Bytes of news in one summary; the rest of it takes most of a datagram in the largest fleets.
 /// Hosts read longer answers of the store themselves.
 const MOST_TOLD_BYTES: usize = 8 * 1024;
-/// Bytes of news that wait for the readers of the topics, which look every 80 ms.
+/// Bytes of news that wait for the readers of the topics, which are woken for them.
 const MOST_HEARD_BYTES: usize = 64 * 1024;
 
 pub(crate) struct EdgeState {
--- a/gateway/src/edge/store_news.rs
+++ b/gateway/src/edge/store_news.rs
@@ -31,13 +31,13 @@
     pub fn feed_duty(&self, topic: FeedTopic, next: u64) -> FeedDuty {
         let now = Instant::now();
         let state = self.state.borrow();
-        let watches = if state.plan.is_relayed() {
+        let relayed = state.plan.is_relayed();
+        let watches = if relayed {
             // Hubs tell all others what they have read.
-            self.settings.is(&state.plan.readers)
+            self.settings.is_among(&state.plan.readers)
         } else {
             state.members.has_duty(STORE_READERS, now)
         };
-        let relayed = state.plan.is_relayed();
         let asks = watches || !state.store_reached;
         state.marks.duty(topic, next, asks, relayed, now)
     }
@@ -51,15 +51,9 @@
         furthest.is_some_and(|mark| mark > next)
     }
 
-    /// Whether others rely on what this host reads from the store.
-    #[must_use]
-    pub fn tells_news(&self) -> bool {
-        self.is_hub()
-    }
-
     /// Passes on what this host has read from the store, if others rely on it.
     pub fn tell_news(&self, news: FeedNews) {
-        if self.tells_news() {
+        if self.is_hub() {
             self.state.borrow_mut().news_to_tell.push(news);
         }
     }
--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -53,7 +53,7 @@
 /// leaves, a restart of all hosts grants hardly more than the whole twice in one window.
 const PRESUMED_PART: f64 = 0.75;
 
-/// What one host, or several, used of a cap since a start. Both counts only rise, so that an
+/// What one host, or several, used of a cap since a start. All counts only rise, so that an
 /// overtaken or repeated report changes nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageCount {
--- a/gateway/src/membership/hubs.rs
+++ b/gateway/src/membership/hubs.rs
@@ -113,14 +113,14 @@
     pub rollouts: Vec<RolloutLine>,
 }
 
-/// Sums over all hosts at one moment, out of which those without one host are taken.
-#[derive(Debug, Default)]
+/// Sums over hosts at one moment, out of which those without one host are taken.
+#[derive(Debug)]
 pub struct HubTotals {
     loads: FastMap<NameHash, EndpointReport>,
     usage: FastMap<NameHash, UsageCount>,
     /// Of other cells; those of the own one are summed for each receiver.
     other_rollouts: Vec<RolloutLine>,
-    now: Option<Instant>,
+    now: Instant,
 }
 
 impl HubTotals {
@@ -224,30 +224,29 @@
         true
     }
 
-    /// Sums over the hosts of the own cell and over the other cells; loads of silent ones are left
-    /// out. In a fleet of one cell, `cell` is `None`.
-    #[must_use]
-    pub fn totals(&self, cell: Option<&ZoneName>, now: Instant) -> HubTotals {
-        let mut totals = self.cell_totals(cell, now);
+    /// Adds the other cells to the totals of the own one; loads of silent ones are left out.
+    pub fn add_cells(&self, totals: &mut HubTotals, cell: Option<&ZoneName>) {
         for (zone, tally) in &self.cells {
             if cell.is_none_or(|own| own == zone) {
                 continue;
             }
             totals.add_usage(&tally.used);
-            if tally.choice.is_following(now) {
+            if tally.choice.is_following(totals.now) {
                 tally.loads.iter().for_each(|load| totals.add_load(load));
                 totals.other_rollouts.extend(&tally.rollouts);
             }
         }
-        totals
     }
 
-    /// Sums over the hosts of the own cell alone, for the hubs of other cells.
+    /// Sums over the hosts of the own cell alone; loads of silent ones are left out. In a fleet of one
+    /// cell, `cell` is `None`.
     #[must_use]
     pub fn cell_totals(&self, cell: Option<&ZoneName>, now: Instant) -> HubTotals {
         let mut totals = HubTotals {
-            now: Some(now),
-            ..HubTotals::default()
+            loads: FastMap::default(),
+            usage: FastMap::default(),
+            other_rollouts: Vec::new(),
+            now,
         };
         for tally in self.cell_hosts(cell) {
             totals.add_usage(&tally.used);
@@ -276,11 +275,8 @@
     ) -> HubSums {
         let own = receiver.and_then(|receiver| self.hosts.get(&receiver));
         let own = own.filter(|own| cell.is_none_or(|cell| *cell == own.zone));
-        let heard = own.filter(|own| {
-            totals
-                .now
-                .is_some_and(|now| now.saturating_duration_since(own.heard) <= HUB_SILENCE)
-        });
+        let heard =
+            own.filter(|own| totals.now.saturating_duration_since(own.heard) <= HUB_SILENCE);
         let own_loads = heard.map_or(&[][..], |own| &own.loads);
         let loads = totals.loads.values().filter_map(|sum| {
             let own = own_loads.iter().find(|load| load.endpoint == sum.endpoint);
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -239,11 +239,7 @@
     /// Hosts to which beats go while all tell each other directly: few by definition.
     #[must_use]
     pub fn targets(&self, now: Instant) -> Vec<HostAddress> {
-        let wanted = self
-            .members
-            .iter()
-            .filter(|(_, member)| is_recent(member, now));
-        wanted.map(|(host, _)| *host).collect()
+        self.cell_members(None, now)
     }
 
     /// Hosts of a cell that get a hub's summaries, those included that have not been heard yet.
--- a/gateway/tests/large_fleet.rs
+++ b/gateway/tests/large_fleet.rs
@@ -368,7 +368,8 @@
     assert_eq!(hubs.len(), 2 * ZONES);
     for hub in hubs {
         let cell = hub.plan.cell.as_ref();
-        let totals = hub.tally.totals(cell, play.now);
+        let mut totals = hub.tally.cell_totals(cell, play.now);
+        hub.tally.add_cells(&mut totals, cell);
         let member = hub.table.cell_members(cell, play.now)[0];
         let sums = hub.tally.without(&totals, cell, Some(member));
         assert_eq!(sums.loads.len(), 1);
--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -235,7 +235,7 @@
 
 /// What a hub tells a host of the usage of all others.
 fn usage_without(hub: &HubTally, number: u8, now: Instant) -> Vec<UsageReport> {
-    let totals = hub.totals(None, now);
+    let totals = hub.cell_totals(None, now);
     hub.without(&totals, None, Some(host(number))).usage
 }
 
@@ -529,7 +529,8 @@
             for digest in digests.iter().filter(|digest| digest.cell != cell) {
                 hub.note_digest(digest, now);
             }
-            let totals = hub.totals(Some(&cell), now);
+            let mut totals = hub.cell_totals(Some(&cell), now);
+            hub.add_cells(&mut totals, Some(&cell));
             for (number, one) in (0..play.hosts).zip(&mut all) {
                 if zone(number) == zone(*of) {
                     let usage = hub.without(&totals, Some(&cell), Some(host(number))).usage;
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -211,7 +211,7 @@
     }
     // Host 2 starts again and uses 30 more.
     tally.note_beat(&told(2, 2, 4, 30), now);
-    let sums = |at| tally.without(&tally.totals(None, at), None, Some(host(1)));
+    let sums = |at| tally.without(&tally.cell_totals(None, at), None, Some(host(1)));
     let HubSums { loads, usage, .. } = sums(now);
     assert_eq!((loads[0].active, loads[0].unread_tokens), (6, 20));
     assert_eq!(usage[0].count.admitted, 230);
--- a/http-util/src/kept.rs
+++ b/http-util/src/kept.rs
@@ -28,6 +28,8 @@
 
 /// Bytes that are read ahead on one connection, and the longest head of a response.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes of a body with its framing, as a multiple of those without: chunks may be small.
+const FRAMING_FACTOR: usize = 2;
 /// Bytes after which others have their turn: what a link of 20 Mbit/s brings in 25 ms.
 const BYTES_IN_TURN: usize = 64 * 1024;
 /// Bytes that are read at once: some events of a stream.
@@ -163,10 +165,11 @@
         })
     }
 
-    /// Lets so many bytes more of the body be read, its framing included. Without it, a body may have
-    /// what a head may have.
+    /// Lets a body of so many bytes more be read, with its framing. Without it, a body may have what
+    /// a head may have.
     pub fn allow_body(&self, bytes: usize) {
-        self.left.set(bytes.saturating_add(READ_BUFFER_BYTES));
+        let framed = bytes.saturating_mul(FRAMING_FACTOR);
+        self.left.set(framed.saturating_add(READ_BUFFER_BYTES));
     }
 
     /// Whether the next request can be sent.
