Judge by all hosts together whether the store was there

Seen by callers: nothing at first; requests went on to endpoints that had left, up to 4.1 s after the store had confirmed it (3 s allowed), and would have failed once these stopped.

Hubs tell the youngest mark of a topic; the youngest are those of hosts that have just come back, whose own contact is short. Where the hubs themselves come back, those with a long contact stop reading.

Cause: each host judged by its own contact with the store, and by that of one peer, whether the store had been away. That it lost contact says nothing of the store.

Change: spans of contact are joined over all hosts, in hubs' summaries too; a host that is turned away believes them as well, since news reach it from hubs and peers; each topic is lost and reached by itself, so that a late failure of one no longer restarts the hold of the other (not seen in a log). `held_ms`, `contact_ms` and two gauges show what a hold rests on; the line of a held removal lacked that. The loss of the store names its topic.

--- a/gateway/src/catalog/mod.rs
+++ b/gateway/src/catalog/mod.rs
@@ -8,7 +8,7 @@
 
 pub use endpoint::EndpointEntry;
 pub(crate) use removal_hold::RETURN_TIME;
-pub use removal_hold::RemovalHold;
+pub use removal_hold::{HeldRemoval, RemovalHold};
 pub use routing::{
     RequestKind, RouteEntry, RouteTarget, RoutingTable, ServiceEntry, UsageCap, UsageUnit,
     WorkspaceEntry,
--- a/gateway/src/catalog/removal_hold.rs
+++ b/gateway/src/catalog/removal_hold.rs
@@ -14,7 +14,15 @@
 pub struct RemovalHold {
     down: bool,
     hold_until: Option<Instant>,
-    held: Vec<EndpointId>,
+    vouched: bool,
+    held: Vec<HeldRemoval>,
+}
+
+/// A removal that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldRemoval {
+    pub id: EndpointId,
+    pub since: Instant,
 }
 
 impl RemovalHold {
@@ -28,34 +36,47 @@
         }
     }
 
-    /// A peer says that the store has been there for longer than living endpoints need to be back:
-    /// this host was cut off from it, and what is missing is gone.
-    pub fn note_vouched(&mut self) {
-        self.hold_until = None;
+    /// Takes whether a peer says now that the store has been there for longer than living endpoints
+    /// need to be back. Then this host alone lost it, and what is missing is gone.
+    pub fn set_vouched(&mut self, vouched: bool) {
+        self.vouched = vouched;
+    }
+
+    /// Whether this host's own contact with the store doesn't show that what is missing is gone.
+    #[must_use]
+    pub fn is_unsure(&self, now: Instant) -> bool {
+        self.down || self.hold_until.is_some_and(|until| now < until)
     }
 
     /// Whether removals are held back.
     #[must_use]
     pub fn is_holding(&self, now: Instant) -> bool {
-        self.down || self.hold_until.is_some_and(|until| now < until)
+        self.is_unsure(now) && !self.vouched
     }
 
     /// Takes a removal; false when it is held back.
     pub fn admits_removal(&mut self, id: &EndpointId, now: Instant) -> bool {
         let holding = self.is_holding(now);
-        if holding && !self.held.contains(id) {
-            self.held.push(id.clone());
+        if holding && !self.held.iter().any(|held| held.id == *id) {
+            let id = id.clone();
+            self.held.push(HeldRemoval { id, since: now });
         }
         !holding
     }
 
+    /// Removals that wait, the longest first.
+    #[must_use]
+    pub fn held(&self) -> &[HeldRemoval] {
+        &self.held
+    }
+
     /// The endpoint has registered again.
     pub fn cancel(&mut self, id: &EndpointId) {
-        self.held.retain(|held| held != id);
+        self.held.retain(|held| held.id != *id);
     }
 
     /// Removals that are due now.
-    pub fn take_due(&mut self, now: Instant) -> Vec<EndpointId> {
+    pub fn take_due(&mut self, now: Instant) -> Vec<HeldRemoval> {
         if self.is_holding(now) {
             return Vec::new();
         }
--- a/gateway/src/edge/catalog_changes.rs
+++ b/gateway/src/edge/catalog_changes.rs
@@ -1,10 +1,11 @@
 //! Takes over what operators and endpoints publish.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::state::Edge;
 use crate::catalog::{CatalogChange, ConfigurationImage, EndpointEntry};
 use crate::ids::EndpointId;
+use crate::membership::{ContactSpan, FeedTopic};
 use crate::scheduler::SchedulerEvent;
 
 impl Edge {
@@ -125,14 +126,24 @@
 
     fn lose_endpoint(&self, id: &EndpointId, now: Instant) {
         let admitted = self.state.borrow_mut().removals.admits_removal(id, now);
-        if admitted {
-            self.remove_endpoint(id);
-        } else {
-            log::info!(endpoint = id.as_str(); "endpoint: removal held back");
+        if !admitted {
+            let state = self.state.borrow();
+            let marks = &state.marks;
+            let contact = marks.contact(FeedTopic::Endpoints, now);
+            let ended = contact.map_or(Duration::MAX, |contact| contact.ended);
+            let length = contact.map_or(Duration::ZERO, ContactSpan::length);
+            log::info!(
+                endpoint = id.as_str(), store_reached = marks.is_reached(),
+                contact_ms = length.as_millis(), contact_age_ms = ended.as_millis();
+                "endpoint: removal held back"
+            );
+            return;
         }
+        self.remove_endpoint(id, Duration::ZERO);
     }
 
-    pub(super) fn remove_endpoint(&self, id: &EndpointId) {
+    /// `held`: time for which the removal was held back.
+    pub(super) fn remove_endpoint(&self, id: &EndpointId, held: Duration) {
         if self
             .state
             .borrow_mut()
@@ -142,7 +153,7 @@
         {
             return;
         }
-        log::info!(endpoint = id.as_str(); "endpoint: gone");
+        log::info!(endpoint = id.as_str(), held_ms = held.as_millis(); "endpoint: gone");
         self.pool.drop_endpoint(id);
         self.schedule(SchedulerEvent::EndpointGone(id.clone()));
     }
--- a/gateway/src/edge/metrics.rs
+++ b/gateway/src/edge/metrics.rs
@@ -46,6 +46,9 @@
     pub waiting: Vec<(TierNumber, usize)>,
     /// Time since any host read the store, as far as this one knows.
     pub feed_ages: Vec<(FeedTopic, Duration)>,
+    /// Removals of endpoints that are held back, and for how long the first of them has been.
+    pub removals_held: usize,
+    pub removal_held_for: Option<Duration>,
 }
 
 /// All metrics of one process.
@@ -62,6 +65,8 @@
     in_flight: Gauge,
     waiting: Family<TierLabel, Gauge>,
     feed_age: Family<FeedLabel, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    removals_held: Gauge,
+    removal_held: Gauge<f64, std::sync::atomic::AtomicU64>,
 }
 
 impl Default for EdgeMetrics {
@@ -80,6 +85,8 @@
             in_flight: Gauge::default(),
             waiting: Family::default(),
             feed_age: Family::default(),
+            removals_held: Gauge::default(),
+            removal_held: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -114,7 +121,7 @@
             ),
             (
                 "store_reached",
-                "1 while the store answers this host or its peers",
+                "1 while the store answered this host's last calls",
                 &self.store_reached,
             ),
             ("endpoints", "Endpoints that are known", &self.endpoints),
@@ -124,6 +131,11 @@
                 "Hosts that keep their share though they are silent",
                 &self.hosts_silent,
             ),
+            (
+                "removals_held",
+                "Removals of endpoints that are held back",
+                &self.removals_held,
+            ),
             (
                 "in_flight",
                 "Requests that were read and not answered in full",
@@ -144,6 +156,12 @@
             Unit::Seconds,
             self.feed_age.clone(),
         );
+        registry.register_with_unit(
+            "removal_held",
+            "Time for which a removal has been held back, the longest",
+            Unit::Seconds,
+            self.removal_held.clone(),
+        );
     }
 
     pub fn count(&self, event: &'static str) {
@@ -170,13 +188,13 @@
             gauge.set(whole(*waiting));
         }
         for (topic, age) in &gauges.feed_ages {
-            let feed = match topic {
-                FeedTopic::Operators => "operators",
-                FeedTopic::Endpoints => "endpoints",
-            };
+            let feed = topic.word();
             let gauge = self.feed_age.get_or_create(&FeedLabel { feed });
             gauge.set(age.as_secs_f64());
         }
+        self.removals_held.set(whole(gauges.removals_held));
+        let held_for = gauges.removal_held_for.unwrap_or_default();
+        self.removal_held.set(held_for.as_secs_f64());
         let mut text = String::new();
         // Writing to a string cannot fail.
         let _ = encode(&mut text, &self.registry);
--- a/gateway/src/edge/rollout_duty.rs
+++ b/gateway/src/edge/rollout_duty.rs
@@ -22,7 +22,7 @@
                 return;
             }
             // A version that could not be recorded as completed must not get more.
-            let records = state.store_reached && state.members.has_duty(STATUS_WRITERS, now);
+            let records = state.marks.is_reached() && state.members.has_duty(STATUS_WRITERS, now);
             state.rollouts.advance(records, now)
         };
         for share in shares {
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -19,8 +19,7 @@
 use crate::ids::{FastMap, Incarnation, TicketNumber};
 use crate::limits::{RetryBudget, UsageCaps};
 use crate::membership::{
-    FeedMark, FeedMarks, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, NewsQueue,
-    RelayPlan,
+    FeedMarks, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, NewsQueue, RelayPlan,
 };
 use crate::rollouts::RolloutBoard;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
@@ -61,7 +60,6 @@
     last_ticket: TicketNumber,
     pub beat_number: u64,
     view: MemberView,
-    pub(super) store_reached: bool,
     /// Endpoints were listed once, so that later ones are new.
     pub(super) endpoints_listed: bool,
     pub leaving_since: Option<Instant>,
@@ -118,7 +116,6 @@
             last_ticket: 0,
             beat_number: 0,
             view: MemberView::default(),
-            store_reached: false,
             endpoints_listed: false,
             leaving_since: None,
         };
@@ -230,18 +227,20 @@
     }
 
     pub(crate) fn gauges(&self) -> HostGauges {
+        let now = Instant::now();
         let state = self.state.borrow();
-        let marks = state.marks.newest(Instant::now());
-        let age = |mark: &FeedMark| Duration::from_millis(mark.age_ms.into());
+        let held = state.removals.held();
         HostGauges {
             config_version: state.catalog.version(),
-            store_reached: state.store_reached,
+            store_reached: state.marks.is_reached(),
             endpoints: state.catalog.endpoints().count(),
             hosts: state.view.counted.len(),
             hosts_silent: state.view.silent,
             in_flight: self.in_flight.get(),
             waiting: state.scheduler.waiting_by_tier(),
-            feed_ages: marks.iter().map(|mark| (mark.topic, age(mark))).collect(),
+            feed_ages: state.marks.ages(now),
+            removals_held: held.len(),
+            removal_held_for: held.first().map(|held| now.duration_since(held.since)),
         }
     }
 
@@ -253,13 +252,11 @@
             let state = &mut *self.state.borrow_mut();
             let relayed = state.plan.is_relayed();
             let marks = &state.marks;
-            if state.removals.is_holding(now)
-                && marks.is_vouched(FeedTopic::Endpoints, RETURN_TIME, relayed, now)
-            {
-                state.removals.note_vouched();
-            }
+            let vouched = state.removals.is_unsure(now)
+                && marks.is_vouched(FeedTopic::Endpoints, RETURN_TIME, relayed, now);
+            state.removals.set_vouched(vouched);
             let due = state.removals.take_due(now);
-            let view = state.members.view(state.store_reached, now);
+            let view = state.members.view(marks.is_reached(), now);
             let view_changed = view != state.view;
             if view_changed {
                 let hosts = view.counted.len();
@@ -270,8 +267,8 @@
             }
             (due, view_changed, state.scheduler.has_waiting())
         };
-        for id in due {
-            self.remove_endpoint(&id);
+        for held in due {
+            self.remove_endpoint(&held.id, now.duration_since(held.since));
         }
         self.advance_rollouts(now);
         if view_changed {
--- a/gateway/src/edge/store_news.rs
+++ b/gateway/src/edge/store_news.rs
@@ -8,15 +8,18 @@
 use crate::membership::{FeedDuty, FeedNews, FeedTopic, STORE_READERS};
 
 impl Edge {
-    /// The store answered.
-    pub fn note_store_answered(&self) {
+    /// The store answered a call about a topic.
+    pub fn note_store_answered(&self, topic: FeedTopic) {
         let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
-        if !state.store_reached {
+        let was_reached = state.marks.is_reached();
+        state.marks.note_answered(topic);
+        if !was_reached && state.marks.is_reached() {
             log::info!(config_version = state.catalog.version(); "store: reached");
         }
-        state.store_reached = true;
-        state.removals.note_store_answered(now);
+        if topic == FeedTopic::Endpoints {
+            state.removals.note_store_answered(now);
+        }
     }
 
     /// This host has read a topic of the store up to `next`.
@@ -38,8 +41,7 @@
         } else {
             state.members.has_duty(STORE_READERS, now)
         };
-        let asks = watches || !state.store_reached;
-        state.marks.duty(topic, next, asks, relayed, now)
+        state.marks.duty(topic, next, watches, relayed, now)
     }
 
     /// Whether this host or a peer has lately seen news after `next`.
@@ -77,15 +79,16 @@
         let _ = receiver.await;
     }
 
-    /// The store refused, broke or gave no answer.
-    pub fn note_store_failed(&self, cause: &str) {
+    /// The store refused, broke or gave no answer to a call about a topic.
+    pub fn note_store_failed(&self, topic: FeedTopic, cause: &str) {
         let state = &mut *self.state.borrow_mut();
-        if state.store_reached {
-            log::warn!(config_version = state.catalog.version(), cause = cause; "store: lost");
+        if state.marks.is_reached() {
+            log::warn!(config_version = state.catalog.version(), feed = topic.word(), cause = cause; "store: lost");
+        }
+        state.marks.note_failed(topic, Instant::now());
+        if topic == FeedTopic::Endpoints {
+            state.removals.note_store_failed();
         }
-        state.store_reached = false;
-        state.removals.note_store_failed();
-        state.marks.note_failed(Instant::now());
     }
 
     /// Wakes what waits for news of the store.
--- a/gateway/src/membership/feed_marks.rs
+++ b/gateway/src/membership/feed_marks.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{FastMap, HostAddress};
+use crate::ids::{FastMap, FastSet, HostAddress};
 
 /// What a topic of the store is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -13,6 +13,18 @@
     Endpoints,
 }
 
+impl FeedTopic {
+    pub(crate) const ALL: [Self; 2] = [Self::Operators, Self::Endpoints];
+
+    /// The word for it in logs and metrics.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::Operators => "operators",
+            Self::Endpoints => "endpoints",
+        }
+    }
+}
+
 /// What a host does to learn of news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FeedDuty {
@@ -46,6 +58,40 @@
 /// least every 0.8 s.
 const ANSWER_GAP: Duration = Duration::from_millis(1_500);
 
+/// A span in which the store answered, as times back from now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ContactSpan {
+    pub began: Duration,
+    pub ended: Duration,
+}
+
+impl ContactSpan {
+    /// What a mark shows that was heard some time ago.
+    fn of(mark: &FeedMark, since: Duration) -> Self {
+        let ended = Duration::from_millis(mark.age_ms.into()) + since;
+        let began = ended + Duration::from_millis(mark.reached_ms.into());
+        Self { began, ended }
+    }
+
+    /// Joins the span that ended last with all that reach up to it.
+    fn join_last(mut spans: Vec<Self>) -> Option<Self> {
+        spans.sort_unstable_by_key(|span| span.ended);
+        let mut spans = spans.into_iter();
+        let last = spans.next()?;
+        Some(spans.fold(last, |joined, span| {
+            if span.ended > joined.began + ANSWER_GAP {
+                return joined;
+            }
+            let began = joined.began.max(span.began);
+            Self { began, ..joined }
+        }))
+    }
+
+    pub fn length(self) -> Duration {
+        self.began.saturating_sub(self.ended)
+    }
+}
+
 /// What this host read last of a topic.
 #[derive(Debug)]
 struct OwnMark {
@@ -58,6 +104,8 @@
 #[derive(Debug, Default)]
 pub struct FeedMarks {
     own: FastMap<FeedTopic, OwnMark>,
+    /// Topics whose last call the store answered.
+    answered: FastSet<FeedTopic>,
     peers: FastMap<HostAddress, Vec<(FeedMark, Instant)>>,
     /// The furthest place that any peer has told.
     furthest: FastMap<FeedTopic, u64>,
@@ -78,13 +126,27 @@
         self.own.insert(topic, mark);
     }
 
-    /// The store failed to answer this host.
-    pub fn note_failed(&mut self, now: Instant) {
-        for mark in self.own.values_mut() {
+    /// The store answered this host's last call about a topic.
+    pub fn note_answered(&mut self, topic: FeedTopic) {
+        self.answered.insert(topic);
+    }
+
+    /// The store failed to answer this host's last call about a topic. Each topic may fail alone.
+    pub fn note_failed(&mut self, topic: FeedTopic, now: Instant) {
+        self.answered.remove(&topic);
+        if let Some(mark) = self.own.get_mut(&topic) {
             mark.reached_since = now;
         }
     }
 
+    /// Whether the store answered this host's last call about every topic.
+    #[must_use]
+    pub fn is_reached(&self) -> bool {
+        FeedTopic::ALL
+            .iter()
+            .all(|topic| self.answered.contains(topic))
+    }
+
     /// Takes what a peer tells; true when it has read further than any before.
     pub fn note_peer(&mut self, peer: HostAddress, marks: Vec<FeedMark>, now: Instant) -> bool {
         let mut moved = false;
@@ -110,25 +172,41 @@
         marks.collect()
     }
 
-    /// The freshest mark of each topic, own or heard, for a hub's summary.
+    /// The freshest mark of each topic, own or heard, with the contact of all hosts together, for a
+    /// hub's summary.
     #[must_use]
     pub fn newest(&self, now: Instant) -> Vec<FeedMark> {
-        let heard = self.peers.values().flatten().map(|(mark, heard)| {
-            let since = millis(now.duration_since(*heard));
-            FeedMark {
-                age_ms: mark.age_ms.saturating_add(since),
-                ..*mark
-            }
+        let newest = FeedTopic::ALL.map(|topic| {
+            let heard = self.peers.values().flatten().map(|(mark, heard)| {
+                let since = millis(now.duration_since(*heard));
+                FeedMark {
+                    age_ms: mark.age_ms.saturating_add(since),
+                    ..*mark
+                }
+            });
+            let marks = heard.chain(self.own(now));
+            let freshest = marks
+                .filter(|mark| mark.topic == topic)
+                .min_by_key(|mark| mark.age_ms)?;
+            let contact = self.contact(topic, now)?;
+            Some(FeedMark {
+                reached_ms: millis(contact.length()),
+                ..freshest
+            })
         });
-        let all: Vec<FeedMark> = heard.chain(self.own(now)).collect();
-        let freshest = [FeedTopic::Operators, FeedTopic::Endpoints].map(|topic| {
-            let marks = all.iter().filter(|mark| mark.topic == topic);
-            marks.min_by_key(|mark| mark.age_ms).copied()
-        });
-        freshest.into_iter().flatten().collect()
+        newest.into_iter().flatten().collect()
     }
 
-    /// Whether a peer was answered by the store lately, and for at least this time before.
+    /// Time since this host or a peer read each topic.
+    #[must_use]
+    pub fn ages(&self, now: Instant) -> Vec<(FeedTopic, Duration)> {
+        let newest = self.newest(now).into_iter();
+        newest
+            .map(|mark| (mark.topic, Duration::from_millis(mark.age_ms.into())))
+            .collect()
+    }
+
+    /// Whether the store has answered the hosts lately, and for at least this time before.
     ///
     /// `relayed`: hubs pass marks on.
     #[must_use]
@@ -139,30 +217,39 @@
         relayed: bool,
         now: Instant,
     ) -> bool {
-        let fresh_for = fresh_for(relayed);
-        let mut marks = self.peers.values().flatten();
-        marks.any(|(mark, heard)| {
-            let age = Duration::from_millis(mark.age_ms.into()) + now.duration_since(*heard);
-            let mark_reached = Duration::from_millis(mark.reached_ms.into());
-            mark.topic == topic && age <= fresh_for && mark_reached >= reached
+        let contact = self.contact(topic, now);
+        contact.is_some_and(|contact| {
+            contact.ended <= fresh_for(relayed) && contact.length() >= reached
         })
     }
 
+    /// The last span in which the store answered the hosts without a pause, whichever of them it was.
+    /// That of a single host says little: those that come back from a cut have just reached the
+    /// store, and become its readers in place of those that could tell of a long contact.
+    #[must_use]
+    pub(crate) fn contact(&self, topic: FeedTopic, now: Instant) -> Option<ContactSpan> {
+        let heard = self.peers.values().flatten();
+        let heard = heard.map(|(mark, heard)| (*mark, now.duration_since(*heard)));
+        let own = self.own(now).into_iter().map(|mark| (mark, Duration::ZERO));
+        let marks = heard.chain(own).filter(|(mark, _)| mark.topic == topic);
+        let spans = marks.map(|(mark, since)| ContactSpan::of(&mark, since));
+        ContactSpan::join_last(spans.collect())
+    }
+
     /// What a host that has read up to `next` does to learn of news.
     ///
-    /// `asks`: waiting at the store is its task, or the store did not answer it last. That one must
-    /// go on until it does: whoever rests on the word of others never learns that the store is back,
-    /// and holds removals back for good.
+    /// `watches`: waiting at the store is its task. So it is while the store did not answer its last
+    /// call: whoever rests on the word of others never learns that the store is back.
     #[must_use]
     pub fn duty(
         &self,
         topic: FeedTopic,
         next: u64,
-        asks: bool,
+        watches: bool,
         relayed: bool,
         now: Instant,
     ) -> FeedDuty {
-        if asks {
+        if watches || !self.answered.contains(&topic) {
             return FeedDuty::Watch;
         }
         match self.fresh(topic, relayed, now) {
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod relay_plan;
 
 pub use beat::{MOST_DATAGRAM_BYTES, PeerBeat, PeerMessage};
+pub(crate) use feed_marks::ContactSpan;
 pub use feed_marks::{FeedDuty, FeedMark, FeedMarks, FeedTopic};
 pub use feed_news::{FeedNews, NewsQueue};
 pub use hub_choice::{HubChoice, SummaryNews};
