Compare versions by the least gaps of their endpoints

Cause: versions are compared by the mean pace of their runs, and 2.5 times is asked for, since endpoints differ fivefold in speed. While a version is tested its endpoints have little load and the fast ones get most of the requests, and load slows the old ones.

Change: hosts tell each other the least gap between events that they saw on each endpoint, in longer runs: it is free of load. A version is taken back when its fastest endpoint, and those at a quarter and at half of the order, take 1.5 times as long as the old version's; eight endpoints of each are needed, or chance in the hardware could explain it.

Tried and not kept: counting runs that take well over the usual time on their endpoint.

With fewer than eight endpoints of a version the means alone decide, as before.

--- a/gateway/src/edge/rollout_duty.rs
+++ b/gateway/src/edge/rollout_duty.rs
@@ -22,6 +22,10 @@
                 return;
             }
             // A version that could not be recorded as completed must not get more.
+            for service in state.rollouts.open_services() {
+                let gaps = state.scheduler.least_gaps(&service, now);
+                state.rollouts.note_least_gaps(&service, &gaps);
+            }
             let records = state.marks.is_reached() && state.members.has_duty(STATUS_WRITERS, now);
             state.rollouts.advance(records, now)
         };
--- a/gateway/src/rollouts/board.rs
+++ b/gateway/src/rollouts/board.rs
@@ -8,6 +8,7 @@
 };
 
 use super::counts::{RolloutLine, RunTime, SideCounts};
+use super::hardware::is_slower_on_all;
 use super::plan::{self, ExposureBound, RolloutPhase};
 use super::run::VersionRun;
 use crate::ids::{FastMap, HostAddress, ServiceName, VersionName, name_hash};
@@ -235,6 +236,34 @@
         }
     }
 
+    /// Services whose rollouts are not decided.
+    #[must_use]
+    pub fn open_services(&self) -> Vec<ServiceName> {
+        let open = self
+            .rollouts
+            .iter()
+            .filter(|(_, rollout)| rollout.phase < RolloutPhase::TakenBack);
+        open.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Learns how fast the endpoints of each version are when little loads them.
+    ///
+    /// `gaps`: of each endpoint, where known.
+    pub fn note_least_gaps(&mut self, service: &ServiceName, gaps: &[(VersionName, Option<f64>)]) {
+        let Some(rollout) = self.rollouts.get_mut(service) else {
+            return;
+        };
+        let of = |new: bool| {
+            let side = gaps
+                .iter()
+                .filter(|(version, _)| (*version == rollout.target) == new);
+            side.map(|(_, gap)| *gap).collect::<Vec<_>>()
+        };
+        if is_slower_on_all(&of(false), &of(true)) {
+            rollout.take_back("its endpoints are slower than those of the old version".into());
+        }
+    }
+
     /// Learns from a run of this host.
     pub fn observe(&mut self, run: &VersionRun) {
         let Some(rollout) = self.rollouts.get_mut(&run.service) else {
--- a/gateway/src/rollouts/mod.rs
+++ b/gateway/src/rollouts/mod.rs
@@ -2,6 +2,7 @@
 
 mod board;
 mod counts;
+mod hardware;
 mod plan;
 mod run;
 
--- a/gateway/src/scheduler/pace.rs
+++ b/gateway/src/scheduler/pace.rs
@@ -32,6 +32,10 @@
 /// Runs of one report that are counted at most: a few settle the estimate.
 const MOST_REPORTED_RUNS: u32 = 8;
 
+/// Events of a run from which on its mean gap says how fast the endpoint is when little loads it. A
+/// few events may come together.
+const LEAST_GAP_EVENTS: u32 = 8;
+
 /// An average in which late observations weigh more, and the first ones count in full.
 #[derive(Clone, Copy, Debug)]
 struct LearnedTime {
@@ -62,6 +66,7 @@
     reads: f64,
     writing: f64,
     writes: u32,
+    least_gap_ms: Option<f64>,
 }
 
 #[derive(Debug)]
@@ -70,6 +75,8 @@
     reading: LearnedTime,
     /// Between two events of a stream.
     writing: LearnedTime,
+    /// Least mean time between two events of a longer run, by whichever host.
+    least_gap_ms: Option<f64>,
     /// For the answer of a plain service.
     answering: LearnedTime,
     fresh: FreshTimes,
@@ -80,6 +87,7 @@
         Self {
             reading: LearnedTime::unknown(DEFAULT_READ_MS),
             writing: LearnedTime::unknown(DEFAULT_EVENT_MS),
+            least_gap_ms: None,
             answering: LearnedTime::unknown(DEFAULT_ANSWER_MS),
             fresh: FreshTimes::default(),
         }
@@ -119,9 +127,24 @@
             self.writing.note(observed, 1.0);
             self.fresh.writing += observed;
             self.fresh.writes += 1;
+            if events >= LEAST_GAP_EVENTS {
+                self.note_least_gap(observed);
+                let fresh = &mut self.fresh.least_gap_ms;
+                *fresh = Some(fresh.map_or(observed, |least| least.min(observed)));
+            }
         }
     }
 
+    /// Least mean time between two events of a longer run that any host has seen here.
+    pub fn least_gap_ms(&self) -> Option<f64> {
+        self.least_gap_ms
+    }
+
+    fn note_least_gap(&mut self, gap_ms: f64) {
+        let least = self.least_gap_ms.map_or(gap_ms, |least| least.min(gap_ms));
+        self.least_gap_ms = Some(least);
+    }
+
     pub fn note_answer(&mut self, took: Duration) {
         self.answering.note(took.as_secs_f64() * 1_000.0, 1.0);
     }
@@ -145,11 +168,23 @@
             runs: fresh.writes.clamp(1, MOST_REPORTED_RUNS),
             read_ns: mean(fresh.reading, fresh.reads, NS_PER_MS),
             event_us: mean(fresh.writing, f64::from(fresh.writes), US_PER_MS),
+            least_percent: least_percent(
+                fresh.least_gap_ms,
+                fresh.writing / f64::from(fresh.writes),
+            ),
         })
     }
 
+    fn take_least_gap(&mut self, report: &PaceReport) {
+        if report.least_percent > 0 && report.event_us > 0 {
+            let usual = from_units(report.event_us, US_PER_MS);
+            self.note_least_gap(usual * f64::from(report.least_percent) / 100.0);
+        }
+    }
+
     /// Takes what another host has observed.
     pub fn note_report(&mut self, report: &PaceReport) {
+        self.take_least_gap(report);
         for _ in 0..report.runs.min(MOST_REPORTED_RUNS) {
             if report.read_ns > 0 {
                 self.reading
@@ -173,12 +208,14 @@
             runs: MOST_REPORTED_RUNS,
             read_ns: told(self.reading, NS_PER_MS),
             event_us: told(self.writing, US_PER_MS),
+            least_percent: least_percent(self.least_gap_ms, self.writing.millis),
         };
         (report.read_ns > 0 || report.event_us > 0).then_some(report)
     }
 
     /// Replaces the estimate by that of a host that hears of all runs.
     pub fn adopt(&mut self, report: &PaceReport) {
+        self.take_least_gap(report);
         let learned = |units: u32, per_ms: f64| LearnedTime {
             millis: from_units(units, per_ms),
             seen: f64::from(report.runs),
@@ -192,6 +229,19 @@
     }
 }
 
+/// The least gap in hundredths of the usual one; 0 where it isn't known.
+fn least_percent(gap_ms: Option<f64>, usual_ms: f64) -> u8 {
+    // Rounded up: hosts keep the least that they hear, and tell it on.
+    let percent = gap_ms.map(|gap_ms| (gap_ms / usual_ms * 100.0).ceil());
+    let percent = percent.filter(|percent| percent.is_finite());
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to the range"
+    )]
+    percent.map_or(0, |percent| percent.clamp(1.0, f64::from(u8::MAX)) as u8)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -18,7 +18,7 @@
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{
-    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, TierNumber, ZoneName,
+    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, TierNumber, VersionName, ZoneName,
 };
 
 /// Shortest wait that a refused caller is told. An overload lasts for seconds; who comes back within
@@ -170,6 +170,25 @@
             .collect()
     }
 
+    /// Least times between two events of each endpoint of a service, in milliseconds; `None` for those
+    /// that are cold or ran nothing long yet.
+    #[must_use]
+    pub fn least_gaps(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Vec<(VersionName, Option<f64>)> {
+        let loads = self.endpoints.iter();
+        let gaps = loads
+            .filter(|load| load.entry.service == *service)
+            .map(|load| {
+                let gap = load.pace.least_gap_ms();
+                let gap = gap.filter(|_| !load.gate.is_cold(now));
+                (load.entry.version.clone(), gap)
+            });
+        gaps.collect()
+    }
+
     /// What this host has learned of endpoints' pace.
     #[must_use]
     pub fn pace_estimates(&self) -> Vec<PaceReport> {
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -74,6 +74,9 @@
     pub read_ns: u32,
     /// Microseconds between two events of a stream.
     pub event_us: u32,
+    /// The least mean time between two events of a longer run that was seen, in hundredths of
+    /// `event_us`; 0 for none.
+    pub least_percent: u8,
 }
 
 #[derive(Debug)]
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -489,6 +489,7 @@
             runs: 8,
             read_ns: 20_000,
             event_us: 30_000,
+            least_percent: 80,
         });
     }
     for workspace in 0..40 {
--- a/gateway/tests/rollouts.rs
+++ b/gateway/tests/rollouts.rs
@@ -8,6 +8,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use common::host;
+use compact_str::CompactString;
 use gateway::rollouts::{
     ExposureBound, RolloutBoard, RolloutLine, RolloutPhase, RunCounts, SideCounts, StatusWord,
     VersionRun,
@@ -359,3 +360,40 @@
     assert!(!counts(400, 8).is_bad());
     assert!(counts(60, 20).is_bad());
 }
+
+/// Least times between two events on endpoints of three kinds of hardware, `slower` times as long.
+fn least_gaps(version: &str, slower: f64) -> Vec<(CompactString, Option<f64>)> {
+    let kinds = [13.0, 13.4, 13.2, 14.1, 24.0, 25.1, 24.6, 26.0, 62.0, 65.0];
+    let gaps = kinds.iter().map(|gap| (version.into(), Some(gap * slower)));
+    gaps.collect()
+}
+
+/// Guards against a version that is a few times slower, whose endpoints seem fast beside loaded ones
+/// of the old version and others of slower hardware, and that is completed and kept.
+#[test]
+fn a_version_whose_endpoints_are_all_slower_is_taken_back() {
+    let now = Instant::now();
+    let word = |old: &[_], new: &[_]| {
+        let mut board = board_at(None, now);
+        board.note_least_gaps(&SERVICE.into(), &[old, new].concat());
+        board.statuses(now)[0].word
+    };
+    let old = least_gaps("v1", 1.0);
+    assert_eq!(word(&old, &least_gaps("v2", 2.0)), StatusWord::RolledBack);
+    assert_eq!(word(&old, &least_gaps("v2", 1.2)), StatusWord::InProgress);
+    // Endpoints of the slower kinds only, and too few of them to say.
+    let slow_kinds = &least_gaps("v2", 1.0)[4..];
+    assert_eq!(word(&old, slow_kinds), StatusWord::InProgress);
+    let few = &least_gaps("v2", 2.0)[..7];
+    assert_eq!(word(&old, few), StatusWord::InProgress);
+    // The fastest are as fast as the old ones, so the others are slower hardware.
+    let mut mixed = least_gaps("v2", 2.0);
+    mixed[0].1 = Some(13.5);
+    assert_eq!(word(&old, &mixed), StatusWord::InProgress);
+    // Slow endpoints get few requests and may not be known; more than half of them must be.
+    let mut partly = least_gaps("v2", 2.0);
+    partly[8..].iter_mut().for_each(|gap| gap.1 = None);
+    assert_eq!(word(&old, &partly), StatusWord::RolledBack);
+    partly[3..].iter_mut().for_each(|gap| gap.1 = None);
+    assert_eq!(word(&old, &partly), StatusWord::InProgress);
+}
