Read marks with their age in one place, and name what was written twice

Found on a last reading; no change of behaviour. - The age of a mark was worked out in `newest`, `contact` and `fresh`, own and heard ones apart: `aged` gives both. Own marks now count with their exact age in `contact`, up to 1 ms older than before. `ages` no longer joins contacts that it doesn't tell. - `HubChoice::followed` wrapped a private twin of itself. - The condition under which a request may run once more stood in four places: `ForwardJob::may_run_again`. - Rollouts were looked up by name for each service that had just been listed from them; and a comment stood before the wrong line. - The least of two gaps was taken in two places; `RemovalHold::is_holding` needs no caller.

The test of slower endpoints calls the renamed function; its assertions are the same.

--- a/gateway/src/catalog/removal_hold.rs
+++ b/gateway/src/catalog/removal_hold.rs
@@ -49,8 +49,7 @@
     }
 
     /// Whether removals are held back.
-    #[must_use]
-    pub fn is_holding(&self, now: Instant) -> bool {
+    fn is_holding(&self, now: Instant) -> bool {
         self.is_unsure(now) && !self.vouched
     }
 
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -126,7 +126,7 @@
         run.end(RunEnd::Broken);
         return Err(DispatchFailure::MaybeRun);
     }
-    if status.is_server_error() && job.route.kind.is_repeatable() && job.runs < job.route.attempts {
+    if status.is_server_error() && job.may_run_again() {
         run.end(RunEnd::Failed);
         return Err(DispatchFailure::Failed);
     }
@@ -148,7 +148,7 @@
 
 /// How long an endpoint may be silent before the request is sent elsewhere, where that is allowed.
 pub(crate) fn silence_limit(job: &ForwardJob) -> Option<Duration> {
-    if !job.route.kind.is_repeatable() || job.runs >= job.route.attempts {
+    if !job.may_run_again() {
         return None;
     }
     let whole = job.deadline.saturating_duration_since(job.arrived);
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -77,6 +77,13 @@
     }
 }
 
+impl ForwardJob {
+    /// Whether one more endpoint may run it, though one may have run it already.
+    pub fn may_run_again(&self) -> bool {
+        self.route.kind.is_repeatable() && self.runs < self.route.attempts
+    }
+}
+
 /// A refusal or failure of the gateway's own.
 pub(crate) struct ForwardFault {
     pub fault: EdgeFault,
@@ -269,7 +276,7 @@
         DispatchFailure::Unreachable => return true,
         DispatchFailure::NotRun => true,
         DispatchFailure::MaybeRun | DispatchFailure::Silent | DispatchFailure::Failed => {
-            job.route.kind.is_repeatable() && job.runs < job.route.attempts
+            job.may_run_again()
         }
     };
     allowed && take_repeat(job)
@@ -342,11 +349,7 @@
 /// for another endpoint.
 fn body_limit(job: &ForwardJob) -> Duration {
     let left = job.deadline.saturating_duration_since(Instant::now());
-    if job.route.kind.is_repeatable() && job.runs < job.route.attempts {
-        left / 2
-    } else {
-        left
-    }
+    if job.may_run_again() { left / 2 } else { left }
 }
 
 fn whole_body(job: &ForwardJob, bytes: Bytes) -> EdgeBody {
--- a/gateway/src/edge/rollout_duty.rs
+++ b/gateway/src/edge/rollout_duty.rs
@@ -21,13 +21,12 @@
             if state.rollouts.is_empty() {
                 return;
             }
+            let scheduler = &state.scheduler;
+            let rollouts = &mut state.rollouts;
+            rollouts.compare_endpoints(|service| scheduler.least_gaps(service, now));
             // A version that could not be recorded as completed must not get more.
-            for service in state.rollouts.open_services() {
-                let gaps = state.scheduler.least_gaps(&service, now);
-                state.rollouts.note_least_gaps(&service, &gaps);
-            }
             let records = state.marks.is_reached() && state.members.has_duty(STATUS_WRITERS, now);
-            state.rollouts.advance(records, now)
+            rollouts.advance(records, now)
         };
         for share in shares {
             log::info!(
--- a/gateway/src/membership/feed_marks.rs
+++ b/gateway/src/membership/feed_marks.rs
@@ -66,11 +66,12 @@
 }
 
 impl ContactSpan {
-    /// What a mark shows that was heard some time ago.
-    fn of(mark: &FeedMark, since: Duration) -> Self {
-        let ended = Duration::from_millis(mark.age_ms.into()) + since;
-        let began = ended + Duration::from_millis(mark.reached_ms.into());
-        Self { began, ended }
+    /// What a mark shows of an answer that came `age` ago.
+    fn of(mark: &FeedMark, age: Duration) -> Self {
+        Self {
+            began: age + Duration::from_millis(mark.reached_ms.into()),
+            ended: age,
+        }
     }
 
     /// Joins the span that ended last with all that reach up to it.
@@ -100,6 +101,17 @@
     reached_since: Instant,
 }
 
+impl OwnMark {
+    fn told(&self, topic: FeedTopic, now: Instant) -> FeedMark {
+        FeedMark {
+            topic,
+            next: self.next,
+            age_ms: millis(now.duration_since(self.read)),
+            reached_ms: millis(self.read.saturating_duration_since(self.reached_since)),
+        }
+    }
+}
+
 /// Marks of this host and of its peers.
 #[derive(Debug, Default)]
 pub struct FeedMarks {
@@ -163,13 +175,8 @@
     /// Own marks for the beat. Only what this host read itself is told on.
     #[must_use]
     pub fn own(&self, now: Instant) -> Vec<FeedMark> {
-        let marks = self.own.iter().map(|(topic, mark)| FeedMark {
-            topic: *topic,
-            next: mark.next,
-            age_ms: millis(now.duration_since(mark.read)),
-            reached_ms: millis(mark.read.saturating_duration_since(mark.reached_since)),
-        });
-        marks.collect()
+        let marks = self.own.iter();
+        marks.map(|(topic, mark)| mark.told(*topic, now)).collect()
     }
 
     /// The freshest mark of each topic, own or heard, with the contact of all hosts together, for a
@@ -177,19 +184,10 @@
     #[must_use]
     pub fn newest(&self, now: Instant) -> Vec<FeedMark> {
         let newest = FeedTopic::ALL.map(|topic| {
-            let heard = self.peers.values().flatten().map(|(mark, heard)| {
-                let since = millis(now.duration_since(*heard));
-                FeedMark {
-                    age_ms: mark.age_ms.saturating_add(since),
-                    ..*mark
-                }
-            });
-            let marks = heard.chain(self.own(now));
-            let freshest = marks
-                .filter(|mark| mark.topic == topic)
-                .min_by_key(|mark| mark.age_ms)?;
+            let (freshest, age) = self.aged(topic, now).min_by_key(|(_, age)| *age)?;
             let contact = self.contact(topic, now)?;
             Some(FeedMark {
+                age_ms: millis(age),
                 reached_ms: millis(contact.length()),
                 ..freshest
             })
@@ -200,10 +198,24 @@
     /// Time since this host or a peer read each topic.
     #[must_use]
     pub fn ages(&self, now: Instant) -> Vec<(FeedTopic, Duration)> {
-        let newest = self.newest(now).into_iter();
-        newest
-            .map(|mark| (mark.topic, Duration::from_millis(mark.age_ms.into())))
-            .collect()
+        let age = |topic| {
+            let ages = self.aged(topic, now).map(|(_, age)| age);
+            Some((topic, ages.min()?))
+        };
+        FeedTopic::ALL.into_iter().filter_map(age).collect()
+    }
+
+    /// Marks of a topic, heard and own, each with the time since the store's answer.
+    fn aged(&self, topic: FeedTopic, now: Instant) -> impl Iterator<Item = (FeedMark, Duration)> {
+        let heard = self.peers.values().flatten().map(move |(mark, heard)| {
+            let told = Duration::from_millis(mark.age_ms.into());
+            (*mark, told + now.duration_since(*heard))
+        });
+        let own = self.own.get(&topic);
+        let own = own.map(|own| (own.told(topic, now), now.duration_since(own.read)));
+        heard
+            .filter(move |(mark, _)| mark.topic == topic)
+            .chain(own)
     }
 
     /// Whether the store has answered the hosts lately, and for at least this time before.
@@ -228,11 +240,8 @@
     /// store, and become its readers in place of those that could tell of a long contact.
     #[must_use]
     pub(crate) fn contact(&self, topic: FeedTopic, now: Instant) -> Option<ContactSpan> {
-        let heard = self.peers.values().flatten();
-        let heard = heard.map(|(mark, heard)| (*mark, now.duration_since(*heard)));
-        let own = self.own(now).into_iter().map(|mark| (mark, Duration::ZERO));
-        let marks = heard.chain(own).filter(|(mark, _)| mark.topic == topic);
-        let spans = marks.map(|(mark, since)| ContactSpan::of(&mark, since));
+        let marks = self.aged(topic, now);
+        let spans = marks.map(|(mark, age)| ContactSpan::of(&mark, age));
         ContactSpan::join_last(spans.collect())
     }
 
@@ -266,15 +275,8 @@
     #[must_use]
     pub fn fresh(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Option<u64> {
         let fresh_for = fresh_for(relayed);
-        let own = self.own.get(&topic);
-        let own = own.filter(|own| now.duration_since(own.read) <= fresh_for);
-        let marks = self.peers.values().flatten();
-        let fresh = marks.filter(|(mark, heard)| {
-            let age = Duration::from_millis(mark.age_ms.into()) + now.duration_since(*heard);
-            mark.topic == topic && age <= fresh_for
-        });
-        let peers = fresh.map(|(mark, _)| mark.next);
-        peers.chain(own.map(|own| own.next)).max()
+        let fresh = self.aged(topic, now).filter(|(_, age)| *age <= fresh_for);
+        fresh.map(|(mark, _)| mark.next).max()
     }
 }
 
--- a/gateway/src/membership/hub_choice.rs
+++ b/gateway/src/membership/hub_choice.rs
@@ -38,18 +38,14 @@
     /// Whether sums of a hub are at hand, so that the beats of single hosts don't count.
     #[must_use]
     pub fn is_following(&self, now: Instant) -> bool {
-        self.current(now).is_some()
-    }
-
-    fn current(&self, now: Instant) -> Option<HostAddress> {
-        let (hub, heard) = self.followed?;
-        (now.duration_since(heard) <= HUB_SILENCE).then_some(hub)
+        self.followed(now).is_some()
     }
 
     /// The hub whose loads count now.
     #[must_use]
     pub fn followed(&self, now: Instant) -> Option<HostAddress> {
-        self.current(now)
+        let (hub, heard) = self.followed?;
+        (now.duration_since(heard) <= HUB_SILENCE).then_some(hub)
     }
 
     /// Decides on what a hub tells with this number. Of several hubs the first counts; another one
@@ -73,7 +69,7 @@
             return SummaryNews::Overtaken;
         }
         self.newest.insert(hub, mark);
-        let current = self.current(now);
+        let current = self.followed(now);
         if current.is_some_and(|current| current != hub) && !is_first {
             return SummaryNews::Unused;
         }
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -305,6 +305,7 @@
     pub fn zone_of(&self, host: HostAddress) -> Option<&ZoneName> {
         self.members.get(&host).map(|member| &member.line.zone)
     }
+
     /// Hosts that answer callers, with their zones; this one is not among them.
     #[must_use]
     pub fn serving(&self, now: Instant) -> Vec<(HostAddress, ZoneName)> {
--- a/gateway/src/rollouts/board.rs
+++ b/gateway/src/rollouts/board.rs
@@ -236,31 +236,30 @@
         }
     }
 
-    /// Services whose rollouts are not decided.
-    #[must_use]
-    pub fn open_services(&self) -> Vec<ServiceName> {
-        let open = self
-            .rollouts
-            .iter()
-            .filter(|(_, rollout)| rollout.phase < RolloutPhase::TakenBack);
-        open.map(|(service, _)| service.clone()).collect()
-    }
-
-    /// Learns how fast the endpoints of each version are when little loads them.
+    /// Takes back open versions whose endpoints are slower than those of the old version.
     ///
-    /// `gaps`: of each endpoint, where known.
-    pub fn note_least_gaps(&mut self, service: &ServiceName, gaps: &[(VersionName, Option<f64>)]) {
-        let Some(rollout) = self.rollouts.get_mut(service) else {
-            return;
-        };
-        let of = |new: bool| {
-            let side = gaps
-                .iter()
-                .filter(|(version, _)| (*version == rollout.target) == new);
-            side.map(|(_, gap)| *gap).collect::<Vec<_>>()
-        };
-        if is_slower_on_all(&of(false), &of(true)) {
-            rollout.take_back("its endpoints are slower than those of the old version".into());
+    /// `gaps_of`: version and least time between two events of each endpoint of a service, where
+    /// known.
+    pub fn compare_endpoints(
+        &mut self,
+        gaps_of: impl Fn(&ServiceName) -> Vec<(VersionName, Option<f64>)>,
+    ) {
+        for (service, rollout) in &mut self.rollouts {
+            if rollout.phase >= RolloutPhase::TakenBack {
+                continue;
+            }
+            let (mut old, mut new) = (Vec::new(), Vec::new());
+            for (version, gap) in gaps_of(service) {
+                let side = if version == rollout.target {
+                    &mut new
+                } else {
+                    &mut old
+                };
+                side.push(gap);
+            }
+            if is_slower_on_all(&old, &new) {
+                rollout.take_back("its endpoints are slower than those of the old version".into());
+            }
         }
     }
 
--- a/gateway/src/scheduler/pace.rs
+++ b/gateway/src/scheduler/pace.rs
@@ -128,9 +128,8 @@
             self.fresh.writing += observed;
             self.fresh.writes += 1;
             if events >= LEAST_GAP_EVENTS {
-                self.note_least_gap(observed);
-                let fresh = &mut self.fresh.least_gap_ms;
-                *fresh = Some(fresh.map_or(observed, |least| least.min(observed)));
+                note_least(&mut self.least_gap_ms, observed);
+                note_least(&mut self.fresh.least_gap_ms, observed);
             }
         }
     }
@@ -140,11 +139,6 @@
         self.least_gap_ms
     }
 
-    fn note_least_gap(&mut self, gap_ms: f64) {
-        let least = self.least_gap_ms.map_or(gap_ms, |least| least.min(gap_ms));
-        self.least_gap_ms = Some(least);
-    }
-
     pub fn note_answer(&mut self, took: Duration) {
         self.answering.note(took.as_secs_f64() * 1_000.0, 1.0);
     }
@@ -178,7 +172,8 @@
     fn take_least_gap(&mut self, report: &PaceReport) {
         if report.least_percent > 0 && report.event_us > 0 {
             let usual = from_units(report.event_us, US_PER_MS);
-            self.note_least_gap(usual * f64::from(report.least_percent) / 100.0);
+            let least = usual * f64::from(report.least_percent) / 100.0;
+            note_least(&mut self.least_gap_ms, least);
         }
     }
 
@@ -229,6 +224,10 @@
     }
 }
 
+fn note_least(least: &mut Option<f64>, observed: f64) {
+    *least = Some(least.map_or(observed, |least| least.min(observed)));
+}
+
 /// The least gap in hundredths of the usual one; 0 where it isn't known.
 fn least_percent(gap_ms: Option<f64>, usual_ms: f64) -> u8 {
     // Rounded up: hosts keep the least that they hear, and tell it on.
--- a/gateway/tests/rollouts.rs
+++ b/gateway/tests/rollouts.rs
@@ -375,7 +375,7 @@
     let now = Instant::now();
     let word = |old: &[_], new: &[_]| {
         let mut board = board_at(None, now);
-        board.note_least_gaps(&SERVICE.into(), &[old, new].concat());
+        board.compare_endpoints(|_| [old, new].concat());
         board.statuses(now)[0].word
     };
     let old = least_gaps("v1", 1.0);
