Log and count what endpoints say of themselves in their answers

The logs of the incident don't show whether a host reads the limit that an endpoint names. Now the first, a changed and a lifted limit is one line and one counter each (endpoint, limit before and after), and so are Server-Leaving and the Retry-After of a 503; a malformed header is counted and ignored. Placement doesn't use any of it yet.

Answers to other requests and unsigned answers say nothing, except refusals marked as not run. An answer that permits more counts only if its request was sent after the last answer that permitted less.

--- a/gateway/src/edge/dialect.rs
+++ b/gateway/src/edge/dialect.rs
@@ -25,6 +25,10 @@
     pub signature: HeaderName,
     /// Set by an endpoint that did not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that an endpoint takes from all hosts together.
+    pub rate_limit: HeaderName,
+    /// Set by an endpoint that is about to stop.
+    pub leaving: HeaderName,
     /// Id of the only endpoint that may run the request.
     pub expected_endpoint: HeaderName,
     /// Workspace of the caller, sent to the endpoint.
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -9,6 +9,7 @@
 use http_util::SendFailure;
 use hyper::body::Incoming;
 
+use super::answer_signals::record_signals;
 use super::connection_pool::EndpointConnection;
 use super::forward::{EndpointExchange, ForwardJob};
 use super::headers;
@@ -66,6 +67,7 @@
         return Err(DispatchFailure::Unreachable);
     };
     let request = endpoint_request(job, &endpoint, resume_after);
+    let asked = Instant::now();
     job.runs += 1;
     let sending = connection.send(request);
     let sent = match silence_limit(job) {
@@ -97,7 +99,7 @@
             return Err(DispatchFailure::MayHaveRun);
         }
     };
-    check_head(job, run, connection, response)
+    check_head(job, run, connection, response, asked)
 }
 
 /// Decides from its head whether a response may be passed on.
@@ -106,6 +108,7 @@
     run: PlacedRun,
     mut connection: EndpointConnection,
     response: Response<Incoming>,
+    asked: Instant,
 ) -> Result<EndpointExchange, DispatchFailure> {
     let names = &job.edge.dialect.headers;
     let status = response.status();
@@ -115,13 +118,16 @@
         run.end(RunEnd::Misdirected);
         return Err(DispatchFailure::NotRun);
     }
+    let echoed = headers::text(head, &names.request_id);
+    let is_foreign = echoed.is_some_and(|echoed| echoed != job.id);
+    if !is_foreign {
+        record_signals(&job.edge, &run.endpoint, status, head, asked);
+    }
     if head.contains_key(&names.not_run) {
         job.runs -= 1;
         run.end(RunEnd::NotRun);
         return Err(DispatchFailure::NotRun);
     }
-    let echoed = headers::text(head, &names.request_id);
-    let is_foreign = echoed.is_some_and(|echoed| echoed != job.id);
     let is_unsigned = status.is_success() && !head.contains_key(&names.signature);
     let is_encoded = head.contains_key(header::CONTENT_ENCODING);
     if is_foreign || is_unsigned || is_encoded {
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod admit;
+mod answer_signals;
 mod body;
 mod catalog_changes;
 mod connection_pool;
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -186,9 +186,13 @@
         }
     }
 
-    /// Carries out an effect: delivers the placement or refusal of a request.
+    /// Carries out an effect: delivers the placement or refusal of a request, or logs a change.
     fn apply_effect(&self, effect: SchedulerEffect) {
         let (ticket, placement) = match effect {
+            SchedulerEffect::SignalChanged { endpoint, change } => {
+                self.log_signal_change(&endpoint, change);
+                return;
+            }
             SchedulerEffect::Dispatch { ticket, endpoint } => (ticket, Placement::Placed(endpoint)),
             SchedulerEffect::Refuse {
                 ticket,
--- a/gateway/src/ids.rs
+++ b/gateway/src/ids.rs
@@ -16,6 +16,8 @@
 pub type TicketNumber = u64;
 /// Random number that identifies one run of a process.
 pub type Incarnation = u64;
+/// Hash that stands for one incarnation of an endpoint, also in messages between hosts.
+pub type IncarnationHash = u64;
 /// Short hash that stands for the name of an endpoint, a workspace or a service in messages between
 /// hosts.
 pub type NameHash = u32;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The gateway of wisteriapin. It receives requests of callers, chooses an endpoint for each and
 //! passes the responses back unchanged. `docs/platform.md` describes the design.
 
+pub mod backpressure;
 pub mod catalog;
 pub mod configs;
 pub mod edge;
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -15,6 +15,7 @@
     EndpointReport, PaceReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem,
 };
 use super::version_shares::VersionShares;
+use crate::backpressure::{EndpointSignal, SignalTable};
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{
@@ -37,6 +38,7 @@
     pub(super) loads: Vec<EndpointLoad>,
     evacuated_zones: Vec<ZoneName>,
     versions: VersionShares,
+    signals: SignalTable,
     queue: WaitQueue,
     shares: ServiceShares,
     /// Endpoints of the active runs of this host.
@@ -63,6 +65,7 @@
             loads: Vec::new(),
             evacuated_zones: Vec::new(),
             versions: VersionShares::default(),
+            signals: SignalTable::default(),
             queue: WaitQueue::default(),
             shares: ServiceShares::default(),
             run_endpoints: FastMap::default(),
@@ -121,6 +124,11 @@
                 reports,
                 zone,
             } => self.apply_hub_report(peer, &reports, zone.as_ref(), now),
+            SchedulerEvent::SignalReceived {
+                endpoint,
+                signal,
+                asked,
+            } => return self.apply_signal(&endpoint, signal, asked, now),
             SchedulerEvent::PacesObserved(reports) => {
                 self.update_paces(&reports, |load, report| load.pace.apply_report(report));
                 return Vec::new();
@@ -205,6 +213,23 @@
             .collect()
     }
 
+    /// Applies what an endpoint said of itself in its answer to a request that was sent at `asked`.
+    fn apply_signal(
+        &mut self,
+        endpoint: &EndpointEntry,
+        signal: EndpointSignal,
+        asked: Instant,
+        now: Instant,
+    ) -> Vec<SchedulerEffect> {
+        let incarnation = endpoint.incarnation_hash();
+        let change = self.signals.apply_signal(incarnation, signal, asked, now);
+        let Some(change) = change else {
+            return Vec::new();
+        };
+        let endpoint = endpoint.id.clone();
+        vec![SchedulerEffect::SignalChanged { endpoint, change }]
+    }
+
     fn update_paces(
         &mut self,
         reports: &[PaceReport],
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::backpressure::{EndpointSignal, SignalChange};
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::ids::{
     EndpointId, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, ZoneName,
@@ -117,6 +118,12 @@
         reports: Vec<EndpointReport>,
         zone: Option<ZoneName>,
     },
+    /// An endpoint said something of itself in its answer to a request that was sent at `asked`.
+    SignalReceived {
+        endpoint: Rc<EndpointEntry>,
+        signal: EndpointSignal,
+        asked: Instant,
+    },
     /// Pace of endpoints as observed by a peer.
     PacesObserved(Vec<PaceReport>),
     /// Estimates of a host that learns of all runs.
@@ -154,4 +161,9 @@
         reason: RefusalReason,
         retry_after: Duration,
     },
+    /// What is known of an endpoint has changed.
+    SignalChanged {
+        endpoint: EndpointId,
+        change: SignalChange,
+    },
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -116,6 +116,9 @@
                 reason,
                 retry_after,
             } => format!("refuse {ticket}: {reason:?}, back in {retry_after:?}"),
+            SchedulerEffect::SignalChanged { endpoint, change } => {
+                format!("{endpoint}: {change:?}")
+            }
         })
         .collect()
 }
@@ -127,7 +130,7 @@
             SchedulerEffect::Dispatch { ticket, endpoint } => {
                 Some((*ticket, endpoint.id.to_string()))
             }
-            SchedulerEffect::Refuse { .. } => None,
+            SchedulerEffect::Refuse { .. } | SchedulerEffect::SignalChanged { .. } => None,
         })
         .collect()
 }
