Don't believe a refusal that bears another request's id

What callers saw: an order was answered 503 'not run' although an endpoint had run it, and a second endpoint got it too (REFUSED, TWICE). Cause: the header that says 'not run', and status 421, were read before the echoed id of the request was compared, so a refusal of an earlier request counted for the one in progress. Change: the id is compared first; an answer to another request says nothing about this one, which may have run.

--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -113,16 +113,17 @@
     let names = &job.edge.dialect.headers;
     let status = response.status();
     let head = response.headers();
+    let echoed = headers::text(head, &names.request_id);
+    if echoed.is_some_and(|echoed| echoed != job.id) {
+        run.end(RunEnd::Broken);
+        return Err(DispatchFailure::MayHaveRun);
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         job.runs -= 1;
         run.end(RunEnd::Misdirected);
         return Err(DispatchFailure::NotRun);
     }
-    let echoed = headers::text(head, &names.request_id);
-    let is_foreign = echoed.is_some_and(|echoed| echoed != job.id);
-    if !is_foreign {
-        record_signals(&job.edge, &run.endpoint, status, head, asked);
-    }
+    record_signals(&job.edge, &run.endpoint, status, head, asked);
     if head.contains_key(&names.not_run) {
         job.runs -= 1;
         run.end(RunEnd::NotRun);
@@ -130,7 +131,7 @@
     }
     let is_unsigned = status.is_success() && !head.contains_key(&names.signature);
     let is_encoded = head.contains_key(header::CONTENT_ENCODING);
-    if is_foreign || is_unsigned || is_encoded {
+    if is_unsigned || is_encoded {
         run.end(RunEnd::Broken);
         return Err(DispatchFailure::MayHaveRun);
     }
