End a stream without a length only after a whole event

Cause: a body with neither length nor chunks ends with its connection, and every such end was taken for the end of the stream. Change: without a length, a stream has ended only if an event was received and none is incomplete; otherwise it is broken, and resumed where the route allows that.

--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -42,6 +43,9 @@
     run: PlacedRun,
     connection: EndpointConnection,
     body: Incoming,
+    /// Whether the body has a length or chunks. Otherwise the end of the connection ends it, which
+    /// may also be a failure.
+    is_delimited: bool,
     /// Time spent waiting for the next event. Time that the caller takes to read is not included.
     waited: Duration,
 }
@@ -78,7 +82,7 @@
     *reply.status_mut() = parts.status;
     let mut relayed_headers = headers::end_to_end(&parts.headers);
     // A resumed stream may have another length.
-    relayed_headers.remove(http::header::CONTENT_LENGTH);
+    relayed_headers.remove(CONTENT_LENGTH);
     *reply.headers_mut() = relayed_headers;
     reply
 }
@@ -86,15 +90,23 @@
 impl StreamSource {
     fn new(exchange: EndpointExchange) -> (Self, http::response::Parts) {
         let (parts, body) = exchange.response.into_parts();
+        let is_delimited = parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
         exchange.connection.allow_body(MAX_EVENT_BYTES);
         let source = Self {
             run: exchange.run,
             connection: exchange.connection,
             body,
+            is_delimited,
             waited: Duration::ZERO,
         };
         (source, parts)
     }
+
+    /// Returns whether a body that has ended is complete.
+    fn is_complete(&self, splitter: &EventSplitter) -> bool {
+        self.is_delimited || self.run.has_events() && splitter.is_at_event_end()
+    }
 }
 
 /// Returns the next events for the caller, or `None` at the end of the stream.
@@ -142,7 +154,8 @@
         let frame = match compio::time::timeout(wait_limit, source.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return StreamStep::Broken(RunEnd::Broken),
-            Ok(None) => return StreamStep::Done,
+            Ok(None) if source.is_complete(splitter) => return StreamStep::Done,
+            Ok(None) => return StreamStep::Broken(RunEnd::Broken),
             Err(_) if wait_limit < time_left => return StreamStep::Broken(RunEnd::Stalled),
             Err(_) => return StreamStep::Timeout,
         };
--- a/gateway/src/edge/event_splitter.rs
+++ b/gateway/src/edge/event_splitter.rs
@@ -51,6 +51,12 @@
         }))
     }
 
+    /// Returns whether no incomplete event is buffered.
+    #[must_use]
+    pub fn is_at_event_end(&self) -> bool {
+        self.partial.is_empty()
+    }
+
     /// Discards an incomplete event before the stream is resumed at another endpoint.
     pub fn clear(&mut self) {
         self.partial.clear();
