--- a/gateway/src/backpressure/signal_table.rs
+++ b/gateway/src/backpressure/signal_table.rs
@@ -49,6 +49,13 @@
     Leaving,
 }
 
+impl SendPermission {
+    #[must_use]
+    pub fn is_granted(self) -> bool {
+        matches!(self, Self::Granted | Self::Probe)
+    }
+}
+
 /// Numbers of endpoints that restrict the requests of this host.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SignalCounts {
