Keep what a reader knew of the store's contact across a failed call of its own

What happened: a hub whose call had failed held back the removal of an endpoint that had left, and 3 requests reached that endpoint (contact_ms=268), though the store had answered others all the time. Only the hubs knew of the contact before, and a failed call dropped it. Change: a host keeps the span that the failure ended, and counts it if the answers of a peer continue it within the 1.5 s for which a pause counts as none. Alone it still confirms nothing, and no span is joined across an outage (a_peer_confirms_that_the_store_was_reachable and no_host_confirms_contact_across_an_outage are unchanged). Evidence: membership::a_failed_call_hides_no_contact_that_other_hosts_continue failed before.

--- a/gateway/src/membership/feed_positions.rs
+++ b/gateway/src/membership/feed_positions.rs
@@ -91,6 +91,20 @@
         }))
     }
 
+    /// Extends this contact by an earlier one of this host, which a failed call ended, if the answers
+    /// that a peer got continue that one. The failure was then this host's alone.
+    fn extend_by_earlier(self, earlier: Self, peers: &[Self]) -> Self {
+        let is_continued = peers.iter().any(|peer| {
+            let is_part = peer.began <= self.began && peer.ended >= self.ended;
+            is_part && earlier.ended <= peer.began + MAX_ANSWER_GAP
+        });
+        if !is_continued {
+            return self;
+        }
+        let began = self.began.max(earlier.began);
+        Self { began, ..self }
+    }
+
     pub fn length(self) -> Duration {
         self.began.saturating_sub(self.ended)
     }
@@ -102,9 +116,27 @@
     next_offset: u64,
     read_at: Instant,
     contact_since: Instant,
+    /// When the contact before the last failed call began and ended.
+    earlier_contact: Option<(Instant, Instant)>,
 }
 
 impl OwnPosition {
+    /// Ends the contact at a failed call. Further failures change nothing until the next read.
+    fn end_contact(&mut self, now: Instant) {
+        if self.read_at >= self.contact_since {
+            self.earlier_contact = Some((self.contact_since, self.read_at));
+        }
+        self.contact_since = now;
+    }
+
+    fn earlier_span(&self, now: Instant) -> Option<ContactSpan> {
+        let (began, ended) = self.earlier_contact?;
+        Some(ContactSpan {
+            began: now.saturating_duration_since(began),
+            ended: now.saturating_duration_since(ended),
+        })
+    }
+
     fn to_feed_position(&self, topic: FeedTopic, now: Instant) -> FeedPosition {
         FeedPosition {
             topic,
@@ -137,6 +169,7 @@
             next_offset: next,
             read_at: now,
             contact_since,
+            earlier_contact: previous.and_then(|previous| previous.earlier_contact),
         };
         self.own.insert(topic, position);
     }
@@ -151,7 +184,7 @@
     pub fn record_failure(&mut self, topic: FeedTopic, now: Instant) {
         self.answered.remove(&topic);
         if let Some(position) = self.own.get_mut(&topic) {
-            position.contact_since = now;
+            position.end_contact(now);
         }
     }
 
@@ -230,14 +263,6 @@
         topic: FeedTopic,
         now: Instant,
     ) -> impl Iterator<Item = (FeedPosition, Duration)> {
-        let reported = self
-            .peers
-            .values()
-            .flatten()
-            .map(move |(position, received_at)| {
-                let reported_age = Duration::from_millis(position.age_ms.into());
-                (*position, reported_age + now.duration_since(*received_at))
-            });
         let own = self.own.get(&topic);
         let own = own.map(|own| {
             (
@@ -245,9 +270,21 @@
                 now.duration_since(own.read_at),
             )
         });
-        reported
-            .filter(move |(position, _)| position.topic == topic)
-            .chain(own)
+        self.peer_positions(topic, now).chain(own)
+    }
+
+    /// Returns the positions of all peers in a topic, each with the time since the store's answer.
+    fn peer_positions(
+        &self,
+        topic: FeedTopic,
+        now: Instant,
+    ) -> impl Iterator<Item = (FeedPosition, Duration)> {
+        let reported = self.peers.values().flatten();
+        let reported = reported.map(move |(position, received_at)| {
+            let reported_age = Duration::from_millis(position.age_ms.into());
+            (*position, reported_age + now.duration_since(*received_at))
+        });
+        reported.filter(move |(position, _)| position.topic == topic)
     }
 
     /// Returns whether some host has reached the store recently, after an uninterrupted contact of
@@ -276,9 +313,14 @@
     /// long contact.
     #[must_use]
     pub(crate) fn last_contact(&self, topic: FeedTopic, now: Instant) -> Option<ContactSpan> {
-        let positions = self.positions_with_age(topic, now);
-        let spans = positions.map(|(position, age)| ContactSpan::from_position(&position, age));
-        ContactSpan::merge_latest(spans.collect())
+        let to_span = |(position, age)| ContactSpan::from_position(&position, age);
+        let spans = self.positions_with_age(topic, now).map(to_span);
+        let contact = ContactSpan::merge_latest(spans.collect())?;
+        let earlier = self.own.get(&topic).and_then(|own| own.earlier_span(now));
+        Some(earlier.map_or(contact, |earlier| {
+            let peers: Vec<_> = self.peer_positions(topic, now).map(to_span).collect();
+            contact.extend_by_earlier(earlier, &peers)
+        }))
     }
 
     /// Returns the next step of a host that keeps up with a topic and has read it up to `next`.
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -421,6 +421,39 @@
     assert!(!follower.is_contact_confirmed(topic, reregistration_time, true, at(9_300)));
 }
 
+/// Guards against a reader that loses what it knew of the store's contact by a failed call of its
+/// own, while the store answered others.
+#[test]
+fn a_failed_call_hides_no_contact_that_other_hosts_continue() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let topic = FeedTopic::Endpoints;
+    let min_contact = Duration::from_millis(2_300);
+    let mut reader = FeedPositions::default();
+    for read in 0..10 {
+        reader.record_read(topic, 5, at(read * 800));
+    }
+    reader.record_failure(topic, at(7_400));
+    reader.record_failure(topic, at(7_700));
+    reader.record_read(topic, 5, at(8_000));
+    assert!(
+        !reader.is_contact_confirmed(topic, min_contact, true, at(8_100)),
+        "it alone"
+    );
+    let mut other = FeedPositions::default();
+    other.record_read(topic, 5, at(7_600));
+    other.record_read(topic, 5, at(7_900));
+    reader.apply_peer_positions(host(1), other.own_positions(at(8_000)), at(8_000));
+    assert!(reader.is_contact_confirmed(topic, min_contact, true, at(8_100)));
+    // After an outage that no host has bridged, nothing of the time before it counts.
+    reader.record_failure(topic, at(8_500));
+    other.record_failure(topic, at(8_500));
+    reader.record_read(topic, 5, at(11_000));
+    other.record_read(topic, 5, at(11_000));
+    reader.apply_peer_positions(host(1), other.own_positions(at(11_000)), at(11_000));
+    assert!(!reader.is_contact_confirmed(topic, min_contact, true, at(11_100)));
+}
+
 /// Guards against a change of readers after which no host can confirm how long the store was
 /// reachable: hosts that return from a network partition become readers, and the previous ones
 /// stop.
