Let a limit that has ended lapse while answers name none

What callers would see: an endpoint stayed at its former limit, though its answers named none any more. Cause: each such answer counted as the moment at which the limit ended, so the rate never rose. Now the first one counts. Evidence: backpressure::an_ended_limit_restricts_nothing_after_two_seconds failed before.

--- a/gateway/src/backpressure/signal_table.rs
+++ b/gateway/src/backpressure/signal_table.rs
@@ -70,7 +70,7 @@
     limit: Option<RateMilli>,
     /// When the request was sent whose answer said so.
     asked: Instant,
-    /// When an answer last said so.
+    /// When an answer last named the limit, or first named none.
     heard: Instant,
 }
 
@@ -115,7 +115,9 @@
         };
         if known.limit == statement.limit {
             known.asked = known.asked.max(statement.asked);
-            known.heard = known.heard.max(statement.heard);
+            if known.limit.is_some() {
+                known.heard = known.heard.max(statement.heard);
+            }
             return None;
         }
         let permits_more = match (known.limit, statement.limit) {
--- a/gateway/tests/backpressure.rs
+++ b/gateway/tests/backpressure.rs
@@ -405,3 +405,25 @@
     assert_eq!(parse_pause("0.25"), Some(Duration::from_millis(250)));
     assert_eq!(parse_pause("777600"), Some(Duration::from_mins(1)));
 }
+
+/// Guards against a limit that has ended and still slows an endpoint whose answers name none.
+#[test]
+fn an_ended_limit_restricts_nothing_after_two_seconds() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut table = SignalTable::default();
+    let view = SenderView {
+        counted: 1,
+        live: vec![host_address(1)],
+    };
+    table.set_view(host_address(1), view);
+    table.apply_signal(1, EndpointSignal::RateLimit(500), at(0), at(50));
+    for answer in 1..40 {
+        let asked = at(answer * 100);
+        table.apply_signal(1, EndpointSignal::NoRateLimit, asked, asked + ANSWER_TIME);
+    }
+    for _ in 0..100 {
+        assert!(table.permission(1, at(4_100)).is_granted());
+        table.record_dispatch(1);
+    }
+}
