--- a/gateway/src/backpressure/signal_report.rs
+++ b/gateway/src/backpressure/signal_report.rs
@@ -9,7 +9,7 @@
 
 /// Maximum number of reports in one message, which bounds the traffic when all endpoints of a large
 /// fleet state something at once.
-pub(super) const MAX_REPORTS: usize = 64;
+pub(super) const MAX_REPORTS: usize = 32;
 /// Number of times that a change is reported at once, since datagrams may be lost.
 const CHANGE_REPEATS: u8 = 3;
 /// Time between two reports of a change.
--- a/gateway/src/edge/peer_messages.rs
+++ b/gateway/src/edge/peer_messages.rs
@@ -255,22 +255,26 @@
     }
 
     /// Returns the hosts that receive this host's digests: the hubs, which pass on what they learn
-    /// to their cell and to the hubs of other cells, or all hosts of a small fleet.
+    /// to their followers and to all other hubs, or all hosts of a small fleet.
     pub(crate) fn signal_targets(&self) -> Vec<HostAddress> {
+        let own = self.settings.host;
         let state = self.state.borrow();
         let plan = &state.relay_plan;
-        let mut targets = if !plan.is_relayed() || self.settings.is_among(&plan.hubs) {
-            state
+        let is_hub = self.settings.is_among(&plan.hubs);
+        let mut targets = plan.hubs.clone();
+        if is_hub || !plan.is_relayed() {
+            let members = state
                 .members
-                .cell_members(plan.cell.as_ref(), Instant::now())
-        } else {
-            Vec::new()
-        };
-        targets.extend(&plan.hubs);
-        if self.settings.is_among(&plan.hubs) {
+                .cell_members(plan.cell.as_ref(), Instant::now());
+            let receivers = members
+                .into_iter()
+                .filter(|host| !is_hub || state.tally.relies_on(*host, own));
+            targets.extend(receivers);
+        }
+        if is_hub {
             targets.extend(&plan.other_hubs);
         }
-        targets.retain(|host| *host != self.settings.host);
+        targets.retain(|host| *host != own);
         targets.sort_unstable();
         targets.dedup();
         targets
--- a/gateway/tests/backpressure.rs
+++ b/gateway/tests/backpressure.rs
@@ -14,6 +14,7 @@
     EndpointSignal, ReportedSignal, SenderView, SignalChange, SignalReport, SignalTable,
     parse_pause, parse_rate_limit, sender_share,
 };
+use gateway::membership::{MAX_DATAGRAM_BYTES, PeerMessage, SignalDigest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -427,3 +428,35 @@
         table.record_dispatch(1);
     }
 }
+
+/// Guards against digests whose size grows with the fleet when all endpoints name a limit at once.
+#[test]
+fn digests_are_small_however_many_endpoints_name_limits() {
+    const MAX_BYTES_PER_SECOND: usize = 13 * 1024;
+    for endpoints in [256, 3_800] {
+        let start = Instant::now();
+        let mut table = SignalTable::default();
+        for endpoint in 0..endpoints {
+            let incarnation = u64::MAX - endpoint;
+            let limit = EndpointSignal::RateLimit(900_000_000);
+            table.apply_signal(incarnation, limit, start, start);
+        }
+        let mut now = start;
+        let mut sent = Vec::new();
+        while now < start + Duration::from_secs(20) {
+            now += Duration::from_millis(80);
+            let reports = table.take_reports(now);
+            let sender = host_address(1);
+            let digest = PeerMessage::SignalDigest(SignalDigest { sender, reports });
+            sent.push(digest.encode().len());
+        }
+        let per_second = sent.iter().sum::<usize>() / 20;
+        let largest = sent.iter().max().copied().unwrap_or(0);
+        println!("{endpoints} endpoints: {per_second} B/s, largest {largest} B");
+        assert!(
+            per_second <= MAX_BYTES_PER_SECOND,
+            "{endpoints}: {per_second} B/s"
+        );
+        assert!(largest <= MAX_DATAGRAM_BYTES);
+    }
+}
