--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,5 +1,6 @@
 //! Gathers what hosts logged of one request, and what happened around it.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
 use compact_str::CompactString;
@@ -198,6 +199,7 @@
             sentences.push("It was refused before it was sent to an endpoint: not run.".to_owned());
         }
         sentences.push(company_sentence(id, line, all));
+        sentences.extend(restriction_sentence(line, all));
     }
     if ended.is_none() && refused.is_none() {
         sentences.push("No line says how it ended: it runs still, its lines were dropped, or its host stopped without notice.".to_owned());
@@ -241,3 +243,39 @@
     let count = others.count();
     format!("Others that its host refused for this reason in the {CONTEXT_S} s before: {count}.")
 }
+
+/// Names the endpoints that restricted the requests of the host at the time of a refusal.
+fn restriction_sentence(refusal: &LogLine, all: &[LogLine]) -> Option<String> {
+    let mut restrictions: BTreeMap<&str, String> = BTreeMap::new();
+    let earlier = all
+        .iter()
+        .filter(|line| line.host == refusal.host && line.at_s <= refusal.at_s);
+    for line in earlier {
+        let Some(endpoint) = field(line.message, "endpoint") else {
+            continue;
+        };
+        if line.message.starts_with("endpoint: gone") {
+            restrictions.remove(endpoint);
+        } else if line.message.starts_with("endpoint: leaving") {
+            restrictions.insert(endpoint, "is leaving".to_owned());
+        } else if line.message.starts_with("endpoint: paused") {
+            let pause_s = number(line.message, "pause_ms").unwrap_or(0.0) / 1_000.0;
+            if line.at_s + pause_s > refusal.at_s {
+                restrictions.insert(endpoint, format!("wants no request for {pause_s} s"));
+            }
+        } else if line.message.starts_with("endpoint: rate limit changed") {
+            match field(line.message, "limit_per_s") {
+                None | Some("-") => restrictions.remove(endpoint),
+                Some(limit) => {
+                    restrictions.insert(endpoint, format!("limits all hosts to {limit} requests/s"))
+                }
+            };
+        }
+    }
+    let listed: Vec<_> = restrictions
+        .iter()
+        .map(|(endpoint, restriction)| format!("{endpoint} {restriction}"))
+        .collect();
+    (!listed.is_empty())
+        .then(|| format!("Endpoints that restricted its host: {}.", listed.join(", ")))
+}
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -54,6 +54,26 @@
     assert_eq!(story.lines.iter().filter(|line| line.own).count(), 1);
 }
 
+/// Guards against a refusal whose cause, what endpoints said of themselves, is left out or outdated.
+#[test]
+fn a_refusal_names_the_endpoints_that_restricted_the_host() {
+    let text = "\
+[2026-12-04T07:00:01.000Z INFO ] endpoint: rate limit changed endpoint=e-1 before=- limit_per_s=2 source=peer
+[2026-12-04T07:00:01.100Z INFO ] endpoint: rate limit changed endpoint=e-2 before=- limit_per_s=3 source=answer
+[2026-12-04T07:00:01.200Z INFO ] endpoint: paused endpoint=e-3 pause_ms=9000
+[2026-12-04T07:00:01.300Z INFO ] endpoint: paused endpoint=e-4 pause_ms=500
+[2026-12-04T07:00:01.400Z INFO ] endpoint: leaving endpoint=e-5 source=peer
+[2026-12-04T07:00:05.000Z INFO ] endpoint: rate limit changed endpoint=e-2 before=3 limit_per_s=- source=peer
+[2026-12-04T07:00:07.000Z INFO ] request: refused id=d1 code=2309 status=503 reason=endpoints_restricted retry_ms=900 took_ms=0 config_version=7
+";
+    let logs = [HostLog { host: "h", text }];
+    let story = explain_request("d1", &logs).unwrap();
+    assert_eq!(
+        story.verdict.last().unwrap(),
+        "Endpoints that restricted its host: e-1 limits all hosts to 2 requests/s, e-3 wants no request for 9 s, e-5 is leaving."
+    );
+}
+
 /// Guards against collected logs, with a host's name and a time of their own before each line,
 /// that are read as one host's.
 #[test]
