--- a/gateway/src/scheduler/mod.rs
+++ b/gateway/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod cold_gate;
 mod endpoint_health;
 mod endpoint_load;
+mod endpoint_signals;
 mod pace;
 mod queue;
 mod shared_load;
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -15,12 +15,11 @@
     EndpointReport, PaceReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem,
 };
 use super::version_shares::VersionShares;
-use crate::backpressure::{EndpointSignal, SenderView, SignalCounts, SignalReport, SignalTable};
+use crate::backpressure::SignalTable;
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{
-    EndpointId, FastMap, FastSet, HostAddress, ServiceName, TicketNumber, TierNumber, VersionName,
-    ZoneName,
+    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, TierNumber, VersionName, ZoneName,
 };
 
 /// Minimum retry delay for refused callers. An overload lasts for seconds, so a caller that returns
@@ -39,7 +38,7 @@
     pub(super) loads: Vec<EndpointLoad>,
     evacuated_zones: Vec<ZoneName>,
     versions: VersionShares,
-    signals: SignalTable,
+    pub(super) signals: SignalTable,
     queue: WaitQueue,
     shares: ServiceShares,
     /// Endpoints of the active runs of this host.
@@ -47,7 +46,7 @@
     pub(super) own_host: Option<HostAddress>,
     pub(super) hosts: Vec<HostAddress>,
     /// Hosts that were heard recently, this one included.
-    live_hosts: Vec<HostAddress>,
+    pub(super) live_hosts: Vec<HostAddress>,
     /// Zone whose loads this host learns first; `None` in a fleet that is not divided into cells.
     pub(super) cell: Option<ZoneName>,
     /// Number of hosts in this host's zone, itself included.
@@ -228,85 +227,6 @@
             .collect()
     }
 
-    /// Applies what an endpoint said of itself in its answer to a request that was sent at `asked`.
-    fn apply_signal(
-        &mut self,
-        endpoint: &EndpointEntry,
-        signal: EndpointSignal,
-        asked: Instant,
-        now: Instant,
-    ) -> Vec<SchedulerEffect> {
-        let incarnation = endpoint.incarnation_hash();
-        let change = self.signals.apply_signal(incarnation, signal, asked, now);
-        let Some(change) = change else {
-            return Vec::new();
-        };
-        let mut effects = vec![SchedulerEffect::SignalChanged {
-            endpoint: endpoint.id.clone(),
-            change,
-            reported: false,
-        }];
-        effects.extend(self.dispatch_waiting(now));
-        effects
-    }
-
-    /// Applies what another host has heard of endpoints.
-    fn apply_signal_reports(
-        &mut self,
-        reports: &[SignalReport],
-        now: Instant,
-    ) -> Vec<SchedulerEffect> {
-        let mut effects = Vec::new();
-        for report in reports {
-            let Some(change) = self.signals.apply_report(report, now) else {
-                continue;
-            };
-            let mut loads = self.loads.iter();
-            let load = loads.find(|load| load.incarnation == report.endpoint);
-            effects.push(SchedulerEffect::SignalChanged {
-                endpoint: load.map_or("-".into(), |load| load.entry.id.clone()),
-                change,
-                reported: true,
-            });
-        }
-        if !effects.is_empty() {
-            effects.extend(self.dispatch_waiting(now));
-        }
-        effects
-    }
-
-    /// Returns the reports on endpoints that are due, for other hosts.
-    pub fn take_signal_reports(&mut self, now: Instant) -> Vec<SignalReport> {
-        self.signals.take_reports(now)
-    }
-
-    /// Returns the numbers of endpoints that restrict the requests of this host, for metrics.
-    #[must_use]
-    pub fn signal_counts(&self, now: Instant) -> SignalCounts {
-        self.signals.counts(now)
-    }
-
-    fn update_sender_view(&mut self) {
-        let Some(own_host) = self.own_host else {
-            return;
-        };
-        let view = SenderView {
-            counted: self.hosts.len(),
-            live: self.live_hosts.clone(),
-        };
-        self.signals.set_view(own_host, view);
-    }
-
-    /// Drops what is known of endpoints that have left.
-    fn drop_outdated_signals(&mut self, now: Instant) {
-        if self.signals.is_empty() {
-            return;
-        }
-        let registered: FastSet<_> = self.loads.iter().map(|load| load.incarnation).collect();
-        self.signals
-            .drop_outdated(|endpoint| registered.contains(&endpoint), now);
-    }
-
     fn update_paces(
         &mut self,
         reports: &[PaceReport],
@@ -367,7 +287,7 @@
         (wait > max_wait(item, shares.slots_full, &self.settings)).then_some(wait)
     }
 
-    fn dispatch_waiting(&mut self, now: Instant) -> Vec<SchedulerEffect> {
+    pub(super) fn dispatch_waiting(&mut self, now: Instant) -> Vec<SchedulerEffect> {
         let mut effects = Vec::new();
         if self.queue.is_empty() {
             return effects;
