Keep signal handlers installed for the life of a host

What callers saw: a host that got a second SIGTERM while it stopped, or a SIGHUP while it handled another one, ended at once. Requests that it had read got no answer, orders at an endpoint among them.

Cause: compio::signal restores the default action when the last listener of a signal is dropped. SIGTERM had one listener, which was dropped when the drain began and was installed only after the listeners of the sockets. SIGHUP had two, but one signal completes both, so that none was left until the next one was polled. Besides, the handler wakes the listening task in place: on the thread of the runtime this changes its task queue while the runtime may be changing it.

--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, UdpSocket};
-use compio::signal::unix::signal;
 
 use super::accept::serve_connections;
 use super::datagrams::{receive_datagrams, send_heartbeat, send_heartbeats, send_summaries};
@@ -12,7 +11,6 @@
 use super::forward::forward_request;
 use super::state::Edge;
 
-const SIGTERM: i32 = 15;
 /// Minimum time for which a stopping host keeps listening. Callers learn of other hosts within two
 /// replies of the directory.
 const MIN_LEAVE_TIME: Duration = Duration::from_millis(4_500);
@@ -25,12 +23,12 @@
 /// Time between two checks whether a stopping host has finished its requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Serves requests until the process receives SIGTERM, then finishes the requests in flight.
+/// Serves requests until `stopped` completes, then finishes the requests in flight.
 ///
 /// # Errors
 ///
-/// Returns an error if a socket cannot be opened or the signal handler cannot be installed.
-pub async fn run_edge(edge: Rc<Edge>) -> std::io::Result<()> {
+/// Returns an error if a socket cannot be opened.
+pub async fn run_edge(edge: Rc<Edge>, stopped: impl Future<Output = ()>) -> std::io::Result<()> {
     let settings = &edge.settings;
     let peer_address = (settings.host, settings.peer_port);
     let socket = Rc::new(UdpSocket::bind(peer_address).await?);
@@ -77,7 +75,7 @@
     })
     .detach();
     log::info!(host = settings.host.to_string().as_str(), zone = settings.zone.as_str(); "edge: started");
-    signal(SIGTERM).await?;
+    stopped.await;
     drain_and_leave(&edge, &socket).await;
     Ok(())
 }
