Log the requests that the end of a stop cuts

What was missing: `edge: stopped` had a number, but nothing told which requests had no answer when a host exited, or whether an endpoint had them.

Change: requests in flight are kept in a table with their ids. At the exit, each one that is left gets a line `request: cut` (at most 100), and `edge: stopped` counts them as `cut`, which replaces `in_flight`.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -8,8 +8,9 @@
 use http_util::{BodyError, head_bytes, read_body};
 use hyper::body::Incoming;
 
-use super::forward::{ForwardError, ForwardJob, InFlightGuard};
+use super::forward::{ForwardError, ForwardJob};
 use super::headers;
+use super::in_flight::InFlightGuard;
 use super::reply::EdgeFault;
 use super::state::Edge;
 use crate::catalog::{RouteEntry, RoutingTable, WorkspaceEntry};
@@ -48,7 +49,7 @@
     if head_bytes(&request) > limits.max_header_bytes {
         return Err(EdgeFault::HeadTooLarge.into());
     }
-    let in_flight = InFlightGuard::new(edge);
+    let in_flight = InFlightGuard::new(edge, id);
     let (parts, body) = request.into_parts();
     let names = &edge.dialect.headers;
     let host = headers::text(&parts.headers, &header::HOST)
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -70,6 +70,7 @@
     let request = endpoint_request(job, &endpoint, resume_after);
     let asked = Instant::now();
     job.runs += 1;
+    job.in_flight.record_sent();
     let sending = connection.send(request);
     let sent = match silence_limit(job) {
         Some(limit) => {
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -15,6 +15,7 @@
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
 use super::headers;
+use super::in_flight::InFlightGuard;
 use super::placement::{PlacedRun, place_request};
 use super::reply::{EdgeFault, fault_reply};
 use super::state::Edge;
@@ -58,29 +59,10 @@
     pub waited: Duration,
     /// Time from the arrival to the first byte of the response.
     pub first_byte: Option<Duration>,
-    #[expect(
-        dead_code,
-        reason = "counts the request until its response is complete"
-    )]
+    /// Counts the request until its response is complete.
     pub in_flight: InFlightGuard,
 }
 
-/// Counts a request as in flight until its response is complete.
-pub(crate) struct InFlightGuard(Rc<Edge>);
-
-impl InFlightGuard {
-    pub fn new(edge: &Rc<Edge>) -> Self {
-        edge.in_flight.set(edge.in_flight.get() + 1);
-        Self(Rc::clone(edge))
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 impl ForwardJob {
     /// Returns whether another endpoint may run the request although one may have run it already.
     pub fn may_run_again(&self) -> bool {
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod forward;
 mod headers;
 mod hosts;
+mod in_flight;
 mod metrics;
 mod peer_messages;
 mod placement;
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -121,17 +121,18 @@
 /// period ends.
 async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket) {
     let stopping_since = Instant::now();
-    log::info!(in_flight = edge.in_flight.get(); "edge: stopping");
+    log::info!(in_flight = edge.in_flight.len(); "edge: stopping");
     edge.state.borrow_mut().leaving_since = Some(stopping_since);
     send_heartbeat(edge, socket).await;
     let max_wait = edge.settings.grace_period.saturating_sub(KILL_MARGIN);
     loop {
         let elapsed = stopping_since.elapsed();
-        let is_idle = edge.in_flight.get() == 0;
+        let is_idle = edge.in_flight.len() == 0;
         if elapsed >= max_wait || (is_idle && elapsed >= MIN_LEAVE_TIME.min(max_wait)) {
             break;
         }
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    log::info!(in_flight = edge.in_flight.get(), took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
+    let cut = edge.in_flight.log_cut();
+    log::info!(cut = cut, took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -1,6 +1,6 @@
 //! State of a host, shared by all tasks on its single thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,7 @@
 
 use super::connection_pool::ConnectionPool;
 use super::dialect::{CatalogArchive, WireDialect};
+use super::in_flight::InFlightTable;
 use super::metrics::{EdgeMetrics, HostGauges};
 use super::peer_messages::SentMembers;
 use super::placement::Placement;
@@ -82,8 +83,8 @@
     pub(crate) state: RefCell<EdgeState>,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: EdgeMetrics,
-    /// Number of requests that were admitted and whose responses are not complete.
-    pub(crate) in_flight: Cell<usize>,
+    /// Requests whose responses are not complete.
+    pub(crate) in_flight: InFlightTable,
     pub(crate) incarnation: Incarnation,
     pub(super) random: RefCell<SmallRng>,
 }
@@ -137,7 +138,7 @@
             state: RefCell::new(state),
             pool: ConnectionPool::default(),
             metrics: EdgeMetrics::default(),
-            in_flight: Cell::new(0),
+            in_flight: InFlightTable::default(),
             incarnation,
             random: RefCell::new(random),
         })
@@ -261,7 +262,7 @@
             endpoints: state.catalog.endpoints().count(),
             hosts: state.member_view.counted.len(),
             hosts_silent: state.member_view.silent,
-            in_flight: self.in_flight.get(),
+            in_flight: self.in_flight.len(),
             waiting: state.scheduler.waiting_by_tier(),
             feed_ages: state.feed_positions.ages(now),
             signals: state.scheduler.signal_counts(now),
