Check for the shutdown after the body of a request was read

What callers saw: requests taken late in the grace period of a planned stop were passed on to endpoints, and cut at its end if they lasted longer.

Cause: the check for a shutdown used the state from before the body was read. A request whose head arrived before SIGTERM was admitted however late its body was complete.

Change: the check reads the state after the body. Between it and the first dispatch nothing waits but the queue.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -31,13 +31,12 @@
     id: &CompactString,
     arrived: Instant,
 ) -> Result<ForwardJob, ForwardError> {
-    let (routing, limits, version, leaving) = {
+    let (routing, limits, version) = {
         let state = edge.state.borrow();
         (
             state.catalog.routing(),
             state.catalog.limits(),
             state.catalog.version(),
-            state.leaving_since,
         )
     };
     if version == 0 {
@@ -71,7 +70,8 @@
             BodyError::TooSlow { .. } => EdgeFault::BodyTooSlow,
             BodyError::Truncated => EdgeFault::BodyCut,
         })?;
-    if leaving.is_some_and(|since| since.elapsed() > LEAVING_ACCEPT_WINDOW) {
+    // The body may have taken long: the shutdown may have started since the head arrived.
+    if is_too_late(edge) {
         return Err(ForwardError {
             fault: EdgeFault::Stopping,
             retry_after: Some(STOPPING_RETRY_AFTER),
@@ -116,6 +116,12 @@
     })
 }
 
+/// Returns whether the shutdown of this host is too far advanced for new requests.
+fn is_too_late(edge: &Edge) -> bool {
+    let leaving_since = edge.state.borrow().leaving_since;
+    leaving_since.is_some_and(|since| since.elapsed() > LEAVING_ACCEPT_WINDOW)
+}
+
 /// Returns the workspace to which the key belongs. Requests without a known workspace are only
 /// admitted on public routes.
 fn find_workspace(
