Answer what is left at the end of a stop's grace period

What callers saw: requests that a stopping host had read and that were still open at the end of the grace period ended with a closed connection, orders that may not be repeated and requests that still waited in the queue among them.

Cause: the process exited 0.4 s before the end of the grace period whatever was in flight.

Change: 0.3 s before the exit, a gate opens. Requests that were not sent, or only to endpoints that said that they did not run them, get 503 `stopping` (2306), which stays true as they are dropped from the queue. Those that may have run get 504 with the new code 2503 `grace_ended`. An answer that is complete at this moment is passed on. Streams that have begun go on until the exit. Requests that arrive later are refused, which matters only for grace periods that are shorter than the time for which a stopping host accepts requests.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -19,8 +19,6 @@
 /// Time after the start of the shutdown for which new requests are still accepted. Callers need it
 /// to learn of another host. Later requests could not be finished within the grace period.
 const LEAVING_ACCEPT_WINDOW: Duration = Duration::from_millis(2_500);
-/// Retry delay sent to callers of a stopping host. They find another host at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Retry delay sent to callers before the first configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -63,8 +61,12 @@
         route,
         headers::text(&parts.headers, &names.api_key),
     )?;
-    let body = read_body(body, limits.max_body_bytes, limits.idle_timeout)
+    let reading = read_body(body, limits.max_body_bytes, limits.idle_timeout);
+    let body = edge
+        .stop_gate
+        .run_until_open(reading)
         .await
+        .ok_or_else(ForwardError::stopping)?
         .map_err(|error| match error {
             BodyError::TooLarge { .. } => EdgeFault::BodyTooLarge,
             BodyError::TooSlow { .. } => EdgeFault::BodyTooSlow,
@@ -72,10 +74,7 @@
         })?;
     // The body may have taken long: the shutdown may have started since the head arrived.
     if is_too_late(edge) {
-        return Err(ForwardError {
-            fault: EdgeFault::Stopping,
-            retry_after: Some(STOPPING_RETRY_AFTER),
-        });
+        return Err(ForwardError::stopping());
     }
     let usage = headers::text(&parts.headers, &names.token_usage)
         .and_then(|text| (edge.dialect.parse_usage)(text));
@@ -119,7 +118,8 @@
 /// Returns whether the shutdown of this host is too far advanced for new requests.
 fn is_too_late(edge: &Edge) -> bool {
     let leaving_since = edge.state.borrow().leaving_since;
-    leaving_since.is_some_and(|since| since.elapsed() > LEAVING_ACCEPT_WINDOW)
+    edge.stop_gate.is_open()
+        || leaving_since.is_some_and(|since| since.elapsed() > LEAVING_ACCEPT_WINDOW)
 }
 
 /// Returns the workspace to which the key belongs. Requests without a known workspace are only
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -25,6 +25,8 @@
 
 /// Maximum size of a response that is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Retry delay sent to callers of a stopping host. They find another host at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Retry delay sent to callers when endpoints rejected the request without running it.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum number of dispatches of one request, including those that did not run.
@@ -76,6 +78,16 @@
     pub retry_after: Option<Duration>,
 }
 
+impl ForwardError {
+    /// Returns the rejection of a request that did not run because this host is stopping.
+    pub fn stopping() -> Self {
+        Self {
+            fault: EdgeFault::Stopping,
+            retry_after: Some(STOPPING_RETRY_AFTER),
+        }
+    }
+}
+
 impl From<EdgeFault> for ForwardError {
     fn from(fault: EdgeFault) -> Self {
         Self {
@@ -92,6 +104,13 @@
     pub response: Response<Incoming>,
 }
 
+/// Answer of an endpoint to an admitted request.
+enum EndpointReply {
+    Complete(Response<EdgeBody>),
+    /// A stream whose events are relayed as they arrive.
+    Stream(EndpointExchange),
+}
+
 /// Admits and forwards a caller's request and returns the response to it.
 pub(crate) async fn forward_request(
     edge: Rc<Edge>,
@@ -125,51 +144,56 @@
     fault_reply(error.fault, error.retry_after)
 }
 
-/// Runs an admitted request within its time limit.
+/// Runs an admitted request within its time limit and the grace period of a shutdown.
 async fn run_job(mut job: ForwardJob) -> Response<EdgeBody> {
     let edge = Rc::clone(&job.edge);
     {
         let state = &mut *edge.state.borrow_mut();
         state.budget.record_request(&job.service, job.arrived);
     }
+    let outcome = edge
+        .stop_gate
+        .run_until_open(answer_within_deadline(&mut job))
+        .await;
+    let error = match outcome {
+        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, exchange),
+        Some(Ok(EndpointReply::Complete(reply))) => {
+            log_request_end(&job, reply.status(), "answered");
+            return reply;
+        }
+        Some(Err(error)) => error,
+        None if job.runs > 0 => EdgeFault::GraceEnded.into(),
+        None => ForwardError::stopping(),
+    };
+    if job.runs == 0 {
+        refund_usage(&job);
+    }
+    log_request_end(
+        &job,
+        error.fault.code_status_reason().1,
+        error.fault.reason(),
+    );
+    refuse(&edge, &job.id, job.arrived, &error)
+}
+
+/// Dispatches the request and reads the answer, unless it is a stream, within the time limit.
+async fn answer_within_deadline(job: &mut ForwardJob) -> Result<EndpointReply, ForwardError> {
     let remaining = job
         .deadline
         .saturating_duration_since(Instant::now())
         .saturating_sub(RESPONSE_MARGIN);
-    let outcome = compio::time::timeout(remaining, open_exchange(&mut job)).await;
-    let result = match outcome {
-        Ok(Ok(exchange))
-            if job.route.kind.is_stream() && exchange.response.status().is_success() =>
-        {
-            return relay_events(job, exchange);
-        }
-        Ok(Ok(exchange)) => {
-            let remaining = job.deadline.saturating_duration_since(Instant::now());
-            match compio::time::timeout(remaining, read_response(&mut job, exchange)).await {
-                Ok(result) => result,
-                Err(_) => Err(EdgeFault::Timeout.into()),
-            }
-        }
-        Ok(Err(error)) => Err(error),
-        Err(_) if job.runs > 0 => Err(EdgeFault::Timeout.into()),
-        Err(_) => Err(EdgeFault::TimeoutUnrun.into()),
+    let exchange = match compio::time::timeout(remaining, open_exchange(job)).await {
+        Ok(opened) => opened?,
+        Err(_) if job.runs > 0 => return Err(EdgeFault::Timeout.into()),
+        Err(_) => return Err(EdgeFault::TimeoutUnrun.into()),
     };
-    match result {
-        Ok(reply) => {
-            log_request_end(&job, reply.status(), "answered");
-            reply
-        }
-        Err(error) => {
-            if job.runs == 0 {
-                refund_usage(&job);
-            }
-            log_request_end(
-                &job,
-                error.fault.code_status_reason().1,
-                error.fault.reason(),
-            );
-            refuse(&edge, &job.id, job.arrived, &error)
-        }
+    if job.route.kind.is_stream() && exchange.response.status().is_success() {
+        return Ok(EndpointReply::Stream(exchange));
+    }
+    let remaining = job.deadline.saturating_duration_since(Instant::now());
+    match compio::time::timeout(remaining, read_response(job, exchange)).await {
+        Ok(read) => read.map(EndpointReply::Complete),
+        Err(_) => Err(EdgeFault::Timeout.into()),
     }
 }
 
--- a/gateway/src/edge/in_flight.rs
+++ b/gateway/src/edge/in_flight.rs
@@ -32,6 +32,10 @@
         self.entries.borrow().len()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.entries.borrow().is_empty()
+    }
+
     /// Logs the requests that the exit of the process cuts; returns how many there are.
     pub fn log_cut(&self) -> usize {
         let entries = self.entries.borrow();
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -26,6 +26,7 @@
 mod run;
 mod settings;
 mod state;
+mod stop_gate;
 mod store_updates;
 
 pub use dialect::{CatalogArchive, HeaderNames, WireDialect};
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -31,6 +31,9 @@
     Timeout,
     /// The endpoint failed without a response and may have run the request.
     EndpointBroken,
+    /// The grace period of a stopping host ended while an endpoint may have been running the
+    /// request.
+    GraceEnded,
     /// Endpoints rejected the request without running it, and no further attempt is allowed.
     EndpointsRefused,
     /// All endpoints of the service limit their requests or pause.
@@ -67,11 +70,12 @@
             ),
             Self::Timeout => (2501, StatusCode::GATEWAY_TIMEOUT, "timeout"),
             Self::EndpointBroken => (2502, StatusCode::BAD_GATEWAY, "endpoint_broken"),
+            Self::GraceEnded => (2503, StatusCode::GATEWAY_TIMEOUT, "grace_ended"),
         }
     }
 
     /// All faults, ordered by code.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::NoRoute,
         Self::UnknownKey,
         Self::BodyTooLarge,
@@ -89,6 +93,7 @@
         Self::EndpointsRestricted,
         Self::Timeout,
         Self::EndpointBroken,
+        Self::GraceEnded,
     ];
 
     /// Returns the reason used in logs and counters.
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -16,6 +16,8 @@
 const MIN_LEAVE_TIME: Duration = Duration::from_millis(4_500);
 /// Margin before the end of the grace period, at which the process is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit that is reserved for final answers to the requests still in flight.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Maximum number of connections to a listener that only the platform and operators use.
 const MAX_SIDE_CONNECTIONS: usize = 64;
 /// Time between two checks for expired idle connections.
@@ -117,20 +119,22 @@
     }
 }
 
-/// Announces that this host is leaving, then waits until its requests are answered or the grace
-/// period ends.
+/// Announces that this host is leaving, then waits until its requests are answered. Those that are
+/// left at the end of the grace period get final answers before the process exits.
 async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket) {
     let stopping_since = Instant::now();
     log::info!(in_flight = edge.in_flight.len(); "edge: stopping");
     edge.state.borrow_mut().leaving_since = Some(stopping_since);
     send_heartbeat(edge, socket).await;
     let max_wait = edge.settings.grace_period.saturating_sub(KILL_MARGIN);
-    loop {
-        let elapsed = stopping_since.elapsed();
-        let is_idle = edge.in_flight.len() == 0;
-        if elapsed >= max_wait || (is_idle && elapsed >= MIN_LEAVE_TIME.min(max_wait)) {
-            break;
-        }
+    let max_answer_wait = max_wait.saturating_sub(FINAL_ANSWER_TIME);
+    let min_wait = MIN_LEAVE_TIME.min(max_answer_wait);
+    let is_drained = || edge.in_flight.is_empty() && stopping_since.elapsed() >= min_wait;
+    while !is_drained() && stopping_since.elapsed() < max_answer_wait {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    edge.stop_gate.open();
+    while !is_drained() && stopping_since.elapsed() < max_wait {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let cut = edge.in_flight.log_cut();
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -15,6 +15,7 @@
 use super::peer_messages::SentMembers;
 use super::placement::Placement;
 use super::settings::EdgeSettings;
+use super::stop_gate::StopGate;
 use crate::catalog::{CatalogState, REREGISTRATION_TIME, RemovalHold};
 use crate::configs::SchedulerSettings;
 use crate::ids::{FastMap, HostAddress, Incarnation, TicketNumber};
@@ -85,6 +86,7 @@
     pub(crate) metrics: EdgeMetrics,
     /// Requests whose responses are not complete.
     pub(crate) in_flight: InFlightTable,
+    pub(crate) stop_gate: StopGate,
     pub(crate) incarnation: Incarnation,
     pub(super) random: RefCell<SmallRng>,
 }
@@ -139,6 +141,7 @@
             pool: ConnectionPool::default(),
             metrics: EdgeMetrics::default(),
             in_flight: InFlightTable::default(),
+            stop_gate: StopGate::default(),
             incarnation,
             random: RefCell::new(random),
         })
