Wait until answers are written before a stopping host exits

What callers saw: an answer that an endpoint had given in time was cut, because the host exited while it was being written.

Cause: a request counts as in flight until its answer is handed to the connection, not until it is written. An idle host exits 4.5 s after SIGTERM, with bytes of answers in its buffers.

Change: when nothing is in flight, or the time for final answers has come, connections of callers are shut down gracefully: idle ones close, busy ones end after the answer in progress. The process waits until all have ended, at most until 0.4 s before the end of the grace period as before. Connections accepted from then on are served, but not waited for. `edge: stopped` counts those that had not ended.

--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -1,5 +1,6 @@
 //! Starts the listeners and background tasks of a host, and shuts them down.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -64,10 +65,12 @@
         readiness_reply,
     );
     let handler_edge = Rc::clone(&edge);
+    let caller_connections = Rc::new(Cell::new(0));
     let server = serve_connections(
         caller_listener,
         Rc::clone(&edge),
         settings.max_caller_connections,
+        Rc::clone(&caller_connections),
         move |request| forward_request(Rc::clone(&handler_edge), request),
     );
     compio::runtime::spawn(async move {
@@ -78,7 +81,7 @@
     .detach();
     log::info!(host = settings.host.to_string().as_str(), zone = settings.zone.as_str(); "edge: started");
     stopped.await;
-    drain_and_leave(&edge, &socket).await;
+    drain_and_leave(&edge, &socket, &caller_connections).await;
     Ok(())
 }
 
@@ -98,6 +101,7 @@
         listener,
         Rc::clone(&edge),
         max_connections,
+        Rc::new(Cell::new(0)),
         move |request| {
             let response = reply(&edge, &request);
             async move { response }
@@ -120,8 +124,9 @@
 }
 
 /// Announces that this host is leaving, then waits until its requests are answered. Those that are
-/// left at the end of the grace period get final answers before the process exits.
-async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket) {
+/// left at the end of the grace period get final answers. Connections are closed before the process
+/// exits: the last answers are written only when these have ended.
+async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket, connections: &Cell<usize>) {
     let stopping_since = Instant::now();
     log::info!(in_flight = edge.in_flight.len(); "edge: stopping");
     edge.state.borrow_mut().leaving_since = Some(stopping_since);
@@ -134,9 +139,9 @@
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     edge.stop_gate.open();
-    while !is_drained() && stopping_since.elapsed() < max_wait {
+    while connections.get() > 0 && stopping_since.elapsed() < max_wait {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let cut = edge.in_flight.log_cut();
-    log::info!(cut = cut, took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
+    log::info!(cut = cut, connections = connections.get(), took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
 }
