--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod forward;
 mod headers;
 mod hosts;
+mod in_flight;
 mod metrics;
 mod peer_messages;
 mod placement;
@@ -25,6 +26,7 @@
 mod run;
 mod settings;
 mod state;
+mod stop_gate;
 mod store_updates;
 
 pub use dialect::{CatalogArchive, HeaderNames, WireDialect};
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -1,10 +1,10 @@
 //! Starts the listeners and background tasks of a host, and shuts them down.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, UdpSocket};
-use compio::signal::unix::signal;
 
 use super::accept::serve_connections;
 use super::datagrams::{receive_datagrams, send_heartbeat, send_heartbeats, send_summaries};
@@ -12,12 +12,13 @@
 use super::forward::forward_request;
 use super::state::Edge;
 
-const SIGTERM: i32 = 15;
 /// Minimum time for which a stopping host keeps listening. Callers learn of other hosts within two
 /// replies of the directory.
 const MIN_LEAVE_TIME: Duration = Duration::from_millis(4_500);
 /// Margin before the end of the grace period, at which the process is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit that is reserved for final answers to the requests still in flight.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Maximum number of connections to a listener that only the platform and operators use.
 const MAX_SIDE_CONNECTIONS: usize = 64;
 /// Time between two checks for expired idle connections.
@@ -25,12 +26,12 @@
 /// Time between two checks whether a stopping host has finished its requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Serves requests until the process receives SIGTERM, then finishes the requests in flight.
+/// Serves requests until `stopped` completes, then finishes the requests in flight.
 ///
 /// # Errors
 ///
-/// Returns an error if a socket cannot be opened or the signal handler cannot be installed.
-pub async fn run_edge(edge: Rc<Edge>) -> std::io::Result<()> {
+/// Returns an error if a socket cannot be opened.
+pub async fn run_edge(edge: Rc<Edge>, stopped: impl Future<Output = ()>) -> std::io::Result<()> {
     let settings = &edge.settings;
     let peer_address = (settings.host, settings.peer_port);
     let socket = Rc::new(UdpSocket::bind(peer_address).await?);
@@ -64,10 +65,12 @@
         readiness_reply,
     );
     let handler_edge = Rc::clone(&edge);
+    let caller_connections = Rc::new(Cell::new(0));
     let server = serve_connections(
         caller_listener,
         Rc::clone(&edge),
         settings.max_caller_connections,
+        Rc::clone(&caller_connections),
         move |request| forward_request(Rc::clone(&handler_edge), request),
     );
     compio::runtime::spawn(async move {
@@ -77,8 +80,8 @@
     })
     .detach();
     log::info!(host = settings.host.to_string().as_str(), zone = settings.zone.as_str(); "edge: started");
-    signal(SIGTERM).await?;
-    drain_and_leave(&edge, &socket).await;
+    stopped.await;
+    drain_and_leave(&edge, &socket, &caller_connections).await;
     Ok(())
 }
 
@@ -98,6 +101,7 @@
         listener,
         Rc::clone(&edge),
         max_connections,
+        Rc::new(Cell::new(0)),
         move |request| {
             let response = reply(&edge, &request);
             async move { response }
@@ -119,21 +123,25 @@
     }
 }
 
-/// Announces that this host is leaving, then waits until its requests are answered or the grace
-/// period ends.
-async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket) {
+/// Announces that this host is leaving, then waits until its requests are answered. Those that are
+/// left at the end of the grace period get final answers. Connections are closed before the process
+/// exits: the last answers are written only when these have ended.
+async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket, connections: &Cell<usize>) {
     let stopping_since = Instant::now();
-    log::info!(in_flight = edge.in_flight.get(); "edge: stopping");
+    log::info!(in_flight = edge.in_flight.len(); "edge: stopping");
     edge.state.borrow_mut().leaving_since = Some(stopping_since);
     send_heartbeat(edge, socket).await;
     let max_wait = edge.settings.grace_period.saturating_sub(KILL_MARGIN);
-    loop {
-        let elapsed = stopping_since.elapsed();
-        let is_idle = edge.in_flight.get() == 0;
-        if elapsed >= max_wait || (is_idle && elapsed >= MIN_LEAVE_TIME.min(max_wait)) {
-            break;
-        }
+    let max_answer_wait = max_wait.saturating_sub(FINAL_ANSWER_TIME);
+    let min_wait = MIN_LEAVE_TIME.min(max_answer_wait);
+    let is_drained = || edge.in_flight.is_empty() && stopping_since.elapsed() >= min_wait;
+    while !is_drained() && stopping_since.elapsed() < max_answer_wait {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    edge.stop_gate.open();
+    while connections.get() > 0 && stopping_since.elapsed() < max_wait {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    log::info!(in_flight = edge.in_flight.get(), took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
+    let cut = edge.in_flight.log_cut();
+    log::info!(cut = cut, connections = connections.get(), took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
 }
