Keep an endpoint that has not answered until another one is granted

Callers got 502 (endpoint_broken) although their endpoint was about to answer: requests that may run again, plain ones and streams, whose endpoint sent no head for 0.35 of the time limit.

Cause: send_job closed the connection when that time had passed, and only then the retry budget and the scheduler were asked. Without a retry or without a free endpoint nothing was left to answer the caller.

Change: once the endpoint is silent for too long, a retry and a place are requested while the answer is still awaited. If both are granted, the run ends, its connection is closed, and the request goes to the granted place; may_retry takes nothing from the budget again. If the endpoint answers first, the waiting request is withdrawn and the retry returned to the budget. What is refused is requested again every 250 ms. New counters endpoint_silent and no_other_endpoint and two log lines tell why a silent endpoint was kept.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -111,6 +111,7 @@
         dispatches: 0,
         waited: Duration::ZERO,
         first_byte: None,
+        next_run: None,
         in_flight,
     })
 }
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -11,16 +11,18 @@
 
 use super::answer_signals::record_signals;
 use super::connection_pool::EndpointConnection;
+use super::failover::{AnswerWait, wait_or_fail_over};
 use super::forward::{EndpointExchange, ForwardJob};
 use super::headers;
 use super::placement::PlacedRun;
 use crate::catalog::EndpointEntry;
 use crate::scheduler::RunEnd;
 
-/// Fraction of the request's time limit after which a silent endpoint is abandoned if the request
-/// may run again. The remaining time suffices for another endpoint.
+/// Fraction of the request's time limit after which another endpoint is requested if the first one
+/// is silent and the request may run again. The remaining time suffices for another endpoint.
 const SILENCE_FRACTION: f64 = 0.35;
-/// Minimum time before a silent endpoint is abandoned. Long prompts take about a second to process.
+/// Minimum silence after which another endpoint is requested. Long prompts take about a second to
+/// process.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
 /// Reason for which a dispatch returned no usable response.
@@ -71,15 +73,12 @@
     let asked = Instant::now();
     job.runs += 1;
     let sending = connection.send(request);
-    let sent = match silence_limit(job) {
-        Some(limit) => {
-            let Ok(sent) = compio::time::timeout(limit, sending).await else {
-                run.end(RunEnd::Stalled);
-                return Err(DispatchFailure::Silent);
-            };
-            sent
+    let sent = match wait_or_fail_over(job, silence_limit(job), sending).await {
+        AnswerWait::Ended(sent) => sent,
+        AnswerWait::Replaced => {
+            run.end(RunEnd::Stalled);
+            return Err(DispatchFailure::Silent);
         }
-        None => sending.await,
     };
     let response = match sent {
         Ok(response) => response,
@@ -167,10 +166,10 @@
     timeout.parse().ok()
 }
 
-/// Returns how long an endpoint may be silent before the request is sent to another one, or `None`
-/// if the request may not run again.
+/// Returns how long an endpoint may be silent before another one is requested, or `None` if the
+/// request may not run again.
 pub(crate) fn silence_limit(job: &ForwardJob) -> Option<Duration> {
-    if !job.may_run_again() {
+    if !job.may_fail_over() {
         return None;
     }
     let time_limit = job.deadline.saturating_duration_since(job.arrived);
--- /dev/null
+++ b/gateway/src/edge/failover.rs
@@ -0,0 +1,123 @@
+//! Keeps a silent endpoint until another one has been granted to its request.
+
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{Either, select};
+
+use super::forward::{ForwardJob, place_job};
+use super::placement::PlacedRun;
+use super::state::Edge;
+use crate::ids::ServiceName;
+
+/// Time between two attempts to get another endpoint for a request whose endpoint is silent.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Result of waiting for an endpoint.
+pub(crate) enum AnswerWait<T> {
+    /// The endpoint answered or its connection ended.
+    Ended(T),
+    /// The endpoint is silent and the request was granted another one, which is `job.next_run`.
+    Replaced,
+}
+
+/// Waits for the endpoint's answer. If the endpoint is silent for longer than `limit`, another one
+/// is requested at the same time.
+pub(crate) async fn wait_or_fail_over<T>(
+    job: &mut ForwardJob,
+    limit: Option<Duration>,
+    answer: impl Future<Output = T>,
+) -> AnswerWait<T> {
+    let mut answer = pin!(answer);
+    let Some(limit) = limit else {
+        return AnswerWait::Ended(answer.await);
+    };
+    match compio::time::timeout(limit, answer.as_mut()).await {
+        Ok(ended) => AnswerWait::Ended(ended),
+        Err(_) => fail_over(job, answer).await,
+    }
+}
+
+/// Requests another endpoint while the silent one may still answer. If both happen at once, the
+/// answer counts. An answer withdraws the request for another endpoint.
+pub(crate) async fn fail_over<T, F: Future<Output = T>>(
+    job: &mut ForwardJob,
+    answer: Pin<&mut F>,
+) -> AnswerWait<T> {
+    job.edge.count("endpoint_silent");
+    log::info!(
+        id = job.id.as_str(), endpoint = job.tried.last().map_or("-", |id| id.as_str()),
+        runs = job.runs, dispatches = job.dispatches,
+        took_ms = job.arrived.elapsed().as_millis();
+        "request: endpoint is silent"
+    );
+    let run = match select(answer, pin!(place_elsewhere(job))).await {
+        Either::Left((ended, _)) => return AnswerWait::Ended(ended),
+        Either::Right((run, _)) => run,
+    };
+    job.next_run = Some(run);
+    AnswerWait::Replaced
+}
+
+/// Waits until both the retry budget and the scheduler grant the request another endpoint.
+async fn place_elsewhere(job: &mut ForwardJob) -> PlacedRun {
+    let mut is_kept = false;
+    loop {
+        let cause = match RetryPermit::take(job) {
+            Some(permit) => match place_job(job).await {
+                Ok(run) => {
+                    permit.spend();
+                    return run;
+                }
+                Err(_) => "no_other_endpoint",
+            },
+            None => "retry_budget_empty",
+        };
+        if !is_kept {
+            is_kept = true;
+            job.edge.count(cause);
+            log::info!(id = job.id.as_str(), cause = cause; "request: silent endpoint kept");
+        }
+        compio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// A retry taken from the budget. Dropping it returns the retry, because nothing was sent.
+struct RetryPermit {
+    edge: Rc<Edge>,
+    service: ServiceName,
+    taken_at: Instant,
+    is_spent: bool,
+}
+
+impl RetryPermit {
+    /// Takes a retry, or returns `None` if the budget is used up.
+    fn take(job: &ForwardJob) -> Option<Self> {
+        let taken_at = Instant::now();
+        let state = &mut *job.edge.state.borrow_mut();
+        state
+            .budget
+            .try_retry(&job.service, taken_at)
+            .then(|| Self {
+                edge: Rc::clone(&job.edge),
+                service: job.service.clone(),
+                taken_at,
+                is_spent: false,
+            })
+    }
+
+    fn spend(mut self) {
+        self.is_spent = true;
+    }
+}
+
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            let state = &mut *self.edge.state.borrow_mut();
+            state.budget.refund_retry(&self.service, self.taken_at);
+        }
+    }
+}
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -58,6 +58,8 @@
     pub waited: Duration,
     /// Time from the arrival to the first byte of the response.
     pub first_byte: Option<Duration>,
+    /// Place at another endpoint that was granted because the current one is silent.
+    pub next_run: Option<PlacedRun>,
     #[expect(
         dead_code,
         reason = "counts the request until its response is complete"
@@ -86,6 +88,11 @@
     pub fn may_run_again(&self) -> bool {
         self.route.kind.is_repeatable() && self.runs < self.route.max_attempts
     }
+
+    /// Returns whether another endpoint may be requested while the current one is silent.
+    pub fn may_fail_over(&self) -> bool {
+        self.may_run_again() && self.dispatches < MAX_DISPATCHES
+    }
 }
 
 /// A rejection or failure that the gateway itself reports to the caller.
@@ -240,6 +247,9 @@
 
 /// Requests an endpoint from the scheduler that has not received this request yet.
 pub(crate) async fn place_job(job: &mut ForwardJob) -> Result<PlacedRun, ForwardError> {
+    if let Some(run) = job.next_run.take() {
+        return Ok(run);
+    }
     let (prompt_tokens, _) = job.usage.unwrap_or_default();
     let item = WorkItem {
         ticket: 0,
@@ -281,6 +291,10 @@
 
 /// Returns whether the request may be dispatched again after this failure.
 pub(crate) fn may_retry(job: &ForwardJob, failure: DispatchFailure) -> bool {
+    // The retry was taken from the budget together with the place.
+    if job.next_run.is_some() {
+        return true;
+    }
     if job.dispatches >= MAX_DISPATCHES || Instant::now() >= job.deadline {
         return false;
     }
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod event_relay;
 mod event_splitter;
+mod failover;
 mod forward;
 mod headers;
 mod hosts;
--- a/gateway/src/limits/retry_budget.rs
+++ b/gateway/src/limits/retry_budget.rs
@@ -77,6 +77,14 @@
         granted
     }
 
+    /// Returns a retry that was taken at `taken_at` and not sent.
+    pub fn refund_retry(&mut self, service: &ServiceName, taken_at: Instant) {
+        if let Some(count) = self.counts.get_mut(service) {
+            let index = count.retries.iter().rposition(|time| *time == taken_at);
+            index.and_then(|index| count.retries.remove(index));
+        }
+    }
+
     fn drop_expired(settings: &RetryBudgetSettings, count: &mut ServiceCount, now: Instant) {
         for times in [&mut count.requests, &mut count.retries] {
             while times
