Keep a silent stream at its endpoint until another one is granted

Callers saw streams that broke off (stream_broken) before their first event or between two events, although the endpoint was about to go on.

Cause: after a pause of four times the target gap (1.2 s at least), or of 0.35 of the time limit before the first event, the relay closed the connection to the endpoint, and then asked for a retry and a place. An empty retry budget, an only endpoint or a full one ended the stream.

Evidence: silent_endpoints.rs with endpoints that pause for 1.5 s before the first event, between two events and within an event. Before: all three kinds truncated after 1,198 to 1,296 ms, after one run, with an only endpoint, with a second endpoint that is full, with an empty retry budget, beside a new configuration and beside SIGTERM; 6 of 9 tests failed.

Change: the relay requests a retry and a place while it goes on reading, as for the head of an answer. The stream is resumed elsewhere only with a granted place: then the old run ends and its connection is closed before the request is sent on, after the last complete event. Otherwise events are relayed as they come, an incomplete event is kept, and the time limit of the request ends the stream.

--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream of events to the caller and resumes it at another endpoint if it breaks.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,7 +13,8 @@
 use super::body::EdgeBody;
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job, silence_limit};
-use super::event_splitter::{EventSplitter, MAX_EVENT_BYTES};
+use super::event_splitter::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
+use super::failover::{AnswerWait, fail_over};
 use super::forward::{
     EndpointExchange, ForwardJob, is_resumable, log_request_end, may_retry, place_job,
 };
@@ -20,10 +22,10 @@
 use super::placement::PlacedRun;
 use crate::scheduler::RunEnd;
 
-/// Gap between events after which a resumable stream is resumed at another endpoint, as a multiple
-/// of the target gap. Callers give up at eight times the target gap.
+/// Gap between events after which another endpoint is requested for a resumable stream, as a
+/// multiple of the target gap. Callers give up at eight times the target gap.
 const STALL_FACTOR: u32 = 4;
-/// Minimum gap after which a stream is resumed.
+/// Minimum gap after which another endpoint is requested.
 const MIN_STALL: Duration = Duration::from_millis(1_200);
 
 /// A stream in progress. Dropping it closes the connection to the endpoint, which then stops
@@ -46,17 +48,15 @@
     /// Whether the body has a length or chunks. Otherwise the end of the connection ends it, which
     /// may also be a failure.
     is_delimited: bool,
-    /// Time spent waiting for the next event. Time that the caller takes to read is not included.
-    waited: Duration,
 }
 
 /// Result of reading the next part of a stream.
 enum StreamStep {
     /// One or more complete events.
-    Events(Bytes),
+    Events(CompleteEvents),
     /// The stream has ended.
     Done,
-    /// The endpoint broke the connection or was silent for too long.
+    /// The endpoint broke the connection, or was silent for too long and another one was granted.
     Broken(RunEnd),
     /// The time limit of the request has expired.
     Timeout,
@@ -98,7 +98,6 @@
             connection: exchange.connection,
             body,
             is_delimited,
-            waited: Duration::ZERO,
         };
         (source, parts)
     }
@@ -118,15 +117,13 @@
         let Some(source) = state.source.as_mut() else {
             return Ok(None);
         };
-        let step = read_step(
-            &mut state.job,
-            source,
-            &mut state.splitter,
-            &mut state.last_id,
-        )
-        .await;
-        match step {
-            StreamStep::Events(bytes) => return Ok(Some((bytes, state))),
+        match next_step(&mut state.job, source, &mut state.splitter).await {
+            StreamStep::Events(events) => {
+                let job = &mut state.job;
+                job.first_byte.get_or_insert_with(|| job.arrived.elapsed());
+                state.last_id = events.last_id.or(state.last_id);
+                return Ok(Some((events.bytes, state)));
+            }
             StreamStep::Done => finish_stream(&mut state),
             StreamStep::Broken(end) => resume_stream(&mut state, end).await?,
             StreamStep::Timeout => {
@@ -138,27 +135,39 @@
     }
 }
 
-/// Reads from the endpoint until an event is complete or the stream ends.
-async fn read_step(
+/// Waits for the next step of the stream within the time limit of the request. Bytes that do not
+/// complete an event do not count as progress.
+async fn next_step(
     job: &mut ForwardJob,
     source: &mut StreamSource,
     splitter: &mut EventSplitter,
-    last_id: &mut Option<u64>,
 ) -> StreamStep {
+    let time_left = job.deadline.saturating_duration_since(Instant::now());
+    let max_gap = stall_limit(job, source).filter(|max_gap| *max_gap < time_left);
+    let mut step = pin!(read_step(source, splitter));
+    let first_wait = max_gap.unwrap_or(time_left);
+    if let Ok(step) = compio::time::timeout(first_wait, step.as_mut()).await {
+        return step;
+    }
+    let Some(max_gap) = max_gap else {
+        return StreamStep::Timeout;
+    };
+    let time_left = time_left.saturating_sub(max_gap);
+    match compio::time::timeout(time_left, fail_over(job, step)).await {
+        Ok(AnswerWait::Ended(step)) => step,
+        Ok(AnswerWait::Replaced) => StreamStep::Broken(RunEnd::Stalled),
+        Err(_) => StreamStep::Timeout,
+    }
+}
+
+/// Reads from the endpoint until an event is complete or the stream ends.
+async fn read_step(source: &mut StreamSource, splitter: &mut EventSplitter) -> StreamStep {
     loop {
-        let now = Instant::now();
-        let time_left = job.deadline.saturating_duration_since(now);
-        // Bytes that do not complete an event do not count as progress.
-        let max_gap = stall_limit(job, source).map(|max_gap| max_gap.saturating_sub(source.waited));
-        let wait_limit = max_gap.map_or(time_left, |max_gap| max_gap.min(time_left));
-        let frame = match compio::time::timeout(wait_limit, source.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) if source.is_complete(splitter) => return StreamStep::Done,
-            Ok(Some(Err(_)) | None) => return StreamStep::Broken(RunEnd::Broken),
-            Err(_) if wait_limit < time_left => return StreamStep::Broken(RunEnd::Stalled),
-            Err(_) => return StreamStep::Timeout,
+        let frame = match source.body.frame().await {
+            Some(Ok(frame)) => frame,
+            None if source.is_complete(splitter) => return StreamStep::Done,
+            Some(Err(_)) | None => return StreamStep::Broken(RunEnd::Broken),
         };
-        source.waited += now.elapsed();
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
@@ -166,20 +175,17 @@
             return StreamStep::Broken(RunEnd::Broken);
         };
         if let Some(events) = completed {
-            source.waited = Duration::ZERO;
             source.connection.allow_body(MAX_EVENT_BYTES);
             source.run.record_events(events.count);
-            job.first_byte.get_or_insert_with(|| job.arrived.elapsed());
-            *last_id = events.last_id.or(*last_id);
-            return StreamStep::Events(events.bytes);
+            return StreamStep::Events(events);
         }
     }
 }
 
-/// Returns the maximum gap before the stream is resumed at another endpoint, or `None` if it may
+/// Returns the maximum gap before another endpoint is requested for the stream, or `None` if it may
 /// not be resumed.
 fn stall_limit(job: &ForwardJob, source: &StreamSource) -> Option<Duration> {
-    if !is_resumable(job) || job.runs >= job.route.max_attempts {
+    if !is_resumable(job) || !job.may_fail_over() {
         return None;
     }
     if !source.run.has_events() {
