Keep an endpoint that pauses in a body until another one is granted

Callers of requests that may run again got 502 (endpoint_broken) half way to their time limit although the rest of the answer was about to come.

Cause: read_response gave up a body after half of the remaining time and only then asked for a retry and a place. It also kept the connection to the old endpoint until the next one had answered; the old run ended because its body was dropped.

Evidence: silent_endpoints.rs with an endpoint that pauses for 1.5 s in a body, time limit 2.8 s. Before: 502 after 1,407 to 1,455 ms and one run, with an only endpoint, with a second endpoint that is full, with an empty retry budget, beside a new configuration and beside SIGTERM; 6 of 9 tests failed. The handover to an endpoint that is free passed before.

Change: the body is read on while a retry and a place are requested. Once both are granted, the run ends as stalled and its connection is closed before the request is sent again. The cause in logs and counters is now retry_silent; retry_broken is left to connections that break. Without another endpoint the time limit of the request ends it with 504.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -14,6 +14,7 @@
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
+use super::failover::{AnswerWait, wait_or_fail_over};
 use super::headers;
 use super::placement::{PlacedRun, place_request};
 use super::reply::{EdgeFault, fault_reply};
@@ -344,15 +345,23 @@
         let failed = parts.status.is_server_error();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let collected = compio::time::timeout(body_timeout(job), reading).await;
-        let Ok(Ok(collected)) = collected else {
-            exchange.run.end(RunEnd::Broken);
-            if !may_retry(job, DispatchFailure::MayHaveRun) {
-                return Err(EdgeFault::EndpointBroken.into());
+        let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
+            AnswerWait::Ended(Ok(collected)) => Ok(collected),
+            AnswerWait::Ended(Err(_)) => Err((RunEnd::Broken, DispatchFailure::MayHaveRun)),
+            AnswerWait::Replaced => Err((RunEnd::Stalled, DispatchFailure::Silent)),
+        };
+        let collected = match collected {
+            Ok(collected) => collected,
+            Err((end, failure)) => {
+                exchange.run.end(end);
+                drop(exchange.connection);
+                if !may_retry(job, failure) {
+                    return Err(EdgeFault::EndpointBroken.into());
+                }
+                job.edge.count(failure.cause());
+                exchange = open_exchange(job).await?;
+                continue;
             }
-            job.edge.count(DispatchFailure::MayHaveRun.cause());
-            exchange = open_exchange(job).await?;
-            continue;
         };
         let end = if failed {
             RunEnd::Failed
@@ -373,15 +382,11 @@
     }
 }
 
-/// Returns the time limit for reading a body. If the request may run again, half of the remaining
-/// time is reserved for another endpoint.
-fn body_timeout(job: &ForwardJob) -> Duration {
+/// Returns the time for reading a body after which another endpoint is requested, which leaves half
+/// of the remaining time to it, or `None` if the request may not run again.
+fn body_limit(job: &ForwardJob) -> Option<Duration> {
     let remaining = job.deadline.saturating_duration_since(Instant::now());
-    if job.may_run_again() {
-        remaining / 2
-    } else {
-        remaining
-    }
+    job.may_fail_over().then_some(remaining / 2)
 }
 
 /// Returns the body of the reply, which is empty for HEAD requests.
