--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -14,6 +14,7 @@
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
+use super::failover::{AnswerWait, wait_or_fail_over};
 use super::headers;
 use super::in_flight::InFlightGuard;
 use super::placement::{PlacedRun, place_request};
@@ -63,6 +64,8 @@
     pub waited: Duration,
     /// Time from the arrival to the first byte of the response.
     pub first_byte: Option<Duration>,
+    /// Place at another endpoint that was granted because the current one is silent.
+    pub next_run: Option<PlacedRun>,
     /// Counts the request until its response is complete.
     pub in_flight: InFlightGuard,
 }
@@ -72,6 +75,11 @@
     pub fn may_run_again(&self) -> bool {
         self.route.kind.is_repeatable() && self.runs < self.route.max_attempts
     }
+
+    /// Returns whether another endpoint may be requested while the current one is silent.
+    pub fn may_fail_over(&self) -> bool {
+        self.may_run_again() && self.dispatches < MAX_DISPATCHES
+    }
 }
 
 /// A rejection or failure that the gateway itself reports to the caller.
@@ -153,10 +161,9 @@
         let state = &mut *edge.state.borrow_mut();
         state.budget.record_request(&job.service, job.arrived);
     }
-    let outcome = edge
-        .stop_gate
-        .run_until_open(answer_within_deadline(&mut job))
-        .await;
+    // The future is large, and those of all callers' connections are moved around.
+    let answering = Box::pin(answer_within_deadline(&mut job));
+    let outcome = edge.stop_gate.run_until_open(answering).await;
     let error = match outcome {
         Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, exchange),
         Some(Ok(EndpointReply::Complete(reply))) => {
@@ -248,6 +255,9 @@
 
 /// Requests an endpoint from the scheduler that has not received this request yet.
 pub(crate) async fn place_job(job: &mut ForwardJob) -> Result<PlacedRun, ForwardError> {
+    if let Some(run) = job.next_run.take() {
+        return Ok(run);
+    }
     let (prompt_tokens, _) = job.usage.unwrap_or_default();
     let item = WorkItem {
         ticket: 0,
@@ -290,6 +300,10 @@
 
 /// Returns whether the request may be dispatched again after this failure.
 pub(crate) fn may_retry(job: &ForwardJob, failure: DispatchFailure) -> bool {
+    // The retry was taken from the budget together with the place.
+    if job.next_run.is_some() {
+        return true;
+    }
     if job.dispatches >= MAX_DISPATCHES || Instant::now() >= job.deadline {
         return false;
     }
@@ -339,20 +353,23 @@
         let failed = parts.status.is_server_error();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let collected = compio::time::timeout(body_timeout(job), reading).await;
-        let Ok(Ok(collected)) = collected else {
-            let end = if collected.is_ok() {
-                RunEnd::Disconnected
-            } else {
-                RunEnd::Stalled
-            };
-            exchange.run.end(end);
-            if !may_retry(job, DispatchFailure::MayHaveRun) {
-                return Err(EdgeFault::EndpointBroken.into());
+        let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
+            AnswerWait::Ended(Ok(collected)) => Ok(collected),
+            AnswerWait::Ended(Err(_)) => Err((RunEnd::Disconnected, DispatchFailure::MayHaveRun)),
+            AnswerWait::Replaced => Err((RunEnd::Stalled, DispatchFailure::Silent)),
+        };
+        let collected = match collected {
+            Ok(collected) => collected,
+            Err((end, failure)) => {
+                exchange.run.end(end);
+                drop(exchange.connection);
+                if !may_retry(job, failure) {
+                    return Err(EdgeFault::EndpointBroken.into());
+                }
+                job.edge.count(failure.cause());
+                exchange = open_exchange(job).await?;
+                continue;
             }
-            job.edge.count(DispatchFailure::MayHaveRun.cause());
-            exchange = open_exchange(job).await?;
-            continue;
         };
         let end = if failed {
             RunEnd::Failed
@@ -373,15 +390,11 @@
     }
 }
 
-/// Returns the time limit for reading a body. If the request may run again, half of the remaining
-/// time is reserved for another endpoint.
-fn body_timeout(job: &ForwardJob) -> Duration {
+/// Returns the time for reading a body after which another endpoint is requested, which leaves half
+/// of the remaining time to it, or `None` if the request may not run again.
+fn body_limit(job: &ForwardJob) -> Option<Duration> {
     let remaining = job.deadline.saturating_duration_since(Instant::now());
-    if job.may_run_again() {
-        remaining / 2
-    } else {
-        remaining
-    }
+    job.may_fail_over().then_some(remaining / 2)
 }
 
 /// Returns the body of the reply, which is empty for HEAD requests.
