Add the queue depth to an endpoint's slots without overflow

Before, in a debug build: "attempt to add with overflow" at choice.rs:209. In a release build the sum wraps to 1: the second of three requests was not dispatched (left: [], right: [(2, "e1")]).

The sum now saturates.

--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -206,7 +206,7 @@
         return false;
     }
     let depth = if engine { 0 } else { PLAIN_QUEUE_DEPTH };
-    let capacity = load.entry.slots.max(1) + depth;
+    let capacity = load.entry.slots.max(1).saturating_add(depth);
     if load.active(settings.peer_expiry, now) >= capacity {
         return false;
     }
