Read what callers send after the last answer of a connection

What callers saw: the answer to a request was cut when further bytes, such as the next request, had been sent on its connection.

Cause: every answer of a stopping host ends its connection. A socket that is closed with unread bytes resets the connection, which discards what the peer has not received yet.

Change: after the last answer, a host closes its side of the connection, then reads and discards until the caller has closed its side, at most for 0.5 s. The request behind is not passed on, as before.

--- a/gateway/src/edge/accept.rs
+++ b/gateway/src/edge/accept.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use http::{Request, Response};
 use http_util::accept;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 
 use super::body::EdgeBody;
+use super::lingering_stream::LingeringStream;
 use super::state::Edge;
 
 /// Size of the read buffer, which bounds a request head. The handler checks the configured limit on
@@ -70,7 +71,7 @@
         .timer(CompioTimer)
         .header_read_timeout(edge.caller_head_timeout())
         .max_buf_size(HEAD_BUFFER_BYTES)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(LingeringStream::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     // Errors of a connection need no handling: its request was cancelled when the handler's future
     // was dropped.
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod headers;
 mod hosts;
 mod in_flight;
+mod lingering_stream;
 mod metrics;
 mod peer_messages;
 mod placement;
