Keep the SIGTERM handler of wisteriapind installed

What callers saw: a second SIGTERM during the drain of a host ended the process at once and cut the streams that the drain was to finish.

Cause: the listener of SIGTERM was dropped after the first signal, which restores the default action. It was installed only after the sockets.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,6 +11,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use http_util::ServerLimits;
+use process_signals::{SIGTERM, SignalReceiver, receive_signals};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use snafu::{ResultExt, Snafu};
@@ -58,6 +59,8 @@
     Client { source: cyper::Error },
     #[snafu(display("could not set up metrics"))]
     Metrics { source: std::io::Error },
+    #[snafu(display("could not install the signal handlers"))]
+    Signals { source: std::io::Error },
     #[snafu(display("could not start the runtime"))]
     Runtime { source: std::io::Error },
 }
@@ -68,11 +71,12 @@
 ///
 /// Fails when a socket cannot be opened.
 pub fn run(settings: &DaemonSettings) -> Result<(), DaemonError> {
+    let [stops] = receive_signals([SIGTERM]).context(SignalsSnafu)?;
     let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, stops))
 }
 
-async fn serve(settings: &DaemonSettings) -> Result<(), DaemonError> {
+async fn serve(settings: &DaemonSettings, stops: SignalReceiver) -> Result<(), DaemonError> {
     let mut entropy = SmallRng::from_os_rng();
     let seed = settings.seed.unwrap_or_else(|| entropy.random());
     // The incarnation must differ between processes even when a run is repeated with its seed.
@@ -91,7 +95,7 @@
     );
     let (queue, mut events) = event_queue();
     let mut desk = open_desk(settings, brief.clone(), queue.clone()).await?;
-    start_readers(settings, &desk, &queue)?;
+    start_readers(settings, &desk, &queue, stops)?;
 
     let random = SmallRng::seed_from_u64(seed);
     // Claims are told apart by their nonces, so these too must differ between processes.
@@ -222,6 +226,7 @@
     settings: &DaemonSettings,
     desk: &EffectDesk,
     queue: &EventQueue,
+    mut stops: SignalReceiver,
 ) -> Result<(), DaemonError> {
     let client = Client::new().context(ClientSnafu)?;
     spawn(read_list(client, settings.host_list_address, queue.clone()));
@@ -242,8 +247,7 @@
     });
     let signals = queue.clone();
     spawn(async move {
-        let terminate = compio::signal::unix::signal(15);
-        if terminate.await.is_ok() {
+        while let Some(()) = stops.next().await {
             signals.emit(Event::Terminate);
         }
     });
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -155,6 +155,47 @@
     });
 }
 
+/// Guards against a second SIGTERM that ends a host during its shutdown and interrupts a stream.
+#[test]
+fn a_second_sigterm_interrupts_no_stream() {
+    run(async {
+        let mut fleet = Fleet::start(two_engines()).await;
+        let leaving = fleet.owner(0, "assistant").await.expect("an owner");
+        let (address, own_home) = (fleet.caller(leaving), home(&fleet, leaving).await);
+        let key = home_key(&own_home, "long");
+        let long = compio::runtime::spawn(async move {
+            request(address, &key, "question", 2, LONG_TOKENS).await
+        });
+        let engines = &fleet.engines;
+        wait_until("an engine gets the request", ARRIVAL_LIMIT, || async {
+            dispatches(&fleet, &engines[0]).await.len()
+                + dispatches(&fleet, &engines[1]).await.len()
+                > 0
+        })
+        .await;
+        fleet.daemons[leaving].terminate();
+        let log_path = fleet.daemons[leaving].log_path.clone();
+        wait_until("the shutdown begins", ARRIVAL_LIMIT, || {
+            let began = std::fs::read_to_string(&log_path);
+            let began = began.is_ok_and(|log| log.contains("drain: leaving"));
+            async move { began }
+        })
+        .await;
+        fleet.daemons[leaving].terminate();
+        let long = long.await.expect("the request ends");
+        assert!(long.is_whole(), "{long:?}");
+        let deadline = Instant::now() + ARRIVAL_LIMIT;
+        let code = loop {
+            if let Some(code) = fleet.daemons[leaving].exit_code() {
+                break code;
+            }
+            assert!(Instant::now() < deadline, "still running");
+            compio::time::sleep(Duration::from_millis(20)).await;
+        };
+        assert_eq!(code, 0);
+    });
+}
+
 /// Guards against a shutdown that loses requests when the host that takes over the pool is paused
 /// at the same time. The test combines two failures.
 #[test]
