Sum the weights of a route without overflow

The weights of a split route are 32-bit numbers, and so was their sum. With weights that add up to more, each request of the route ended the task that handled it in a debug build ("attempt to add with overflow").

The sum is now a 64-bit float, which is exact for any number of such weights in use.

--- a/gateway/src/catalog/routing.rs
+++ b/gateway/src/catalog/routing.rs
@@ -64,8 +64,8 @@
     /// Picks a service by weight. `draw` is a uniform random number in `0..1`.
     #[must_use]
     pub fn pick_target(&self, draw: f64) -> Option<&ServiceName> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.targets.iter().map(|target| f64::from(target.weight));
+        let mut remaining = draw * weights.sum::<f64>();
         let picked = self.targets.iter().find(|target| {
             remaining -= f64::from(target.weight);
             remaining < 0.0
