Log and count each entry of the store that can't be used

An entry of an endpoint that can't be decoded was logged when it arrived alone, with its key as it was written and each time anew, but not when it came in a listing, and it was counted nowhere. A record whose key isn't UTF-8 and an item of a listing whose value isn't Base64 left no trace at all.

--- a/gateway/src/edge/store_updates.rs
+++ b/gateway/src/edge/store_updates.rs
@@ -8,7 +8,17 @@
 use super::state::Edge;
 use crate::membership::{FeedAction, FeedTopic, FeedUpdate, STORE_READERS};
 
+/// Maximum number of characters of a store's key or of a cause in a log line.
+const MAX_LOGGED_CHARS: usize = 120;
+
 impl Edge {
+    /// Records that the entry of a key in a topic of the store cannot be used.
+    pub fn record_unusable_entry(&self, topic: &str, key: &str, cause: &str) {
+        self.count("entry_unusable");
+        let (key, cause) = (printable(key), printable(cause));
+        log::warn!(topic = topic, key = key.as_str(), cause = cause.as_str(); "store: entry not used");
+    }
+
     /// Records that the store answered a call about a topic.
     pub fn record_store_response(&self, topic: FeedTopic) {
         let now = Instant::now();
@@ -109,3 +119,9 @@
         }
     }
 }
+
+/// Returns the beginning of a text of another writer on one line of ASCII characters.
+fn printable(text: &str) -> String {
+    let escaped = text.escape_default();
+    escaped.take(MAX_LOGGED_CHARS).collect()
+}
