Keep a silent endpoint until the next one has accepted a connection

Callers got 502 or a stream that broke off although their endpoint was about to go on, if the only other endpoint had crashed and was still in the list of endpoints.

Cause: the silent endpoint was given up with the granted place, and only then the next endpoint turned out to be unreachable. Nothing was left to answer the caller.

Change: the connection to the next endpoint is opened while the first one may still answer. If that fails, the place is given back, the retry is returned to the budget since nothing was sent, and another endpoint is requested after 250 ms. send_job uses the opened connection.

An idle connection that closes between its choice and the sending is not covered.

--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -59,13 +59,17 @@
 /// `resume_after` is the id of the last event that the caller has received.
 pub(crate) async fn send_job(
     job: &mut ForwardJob,
-    run: PlacedRun,
+    mut run: PlacedRun,
     resume_after: Option<u64>,
 ) -> Result<EndpointExchange, DispatchFailure> {
     let endpoint = Rc::clone(&run.endpoint);
     job.tried.push(endpoint.id.clone());
     job.dispatches += 1;
-    let Ok(mut connection) = job.edge.pool.acquire(&endpoint).await else {
+    let acquired = match run.connection.take() {
+        Some(connection) => Ok(connection),
+        None => job.edge.pool.acquire(&endpoint).await,
+    };
+    let Ok(mut connection) = acquired else {
         run.end(RunEnd::Unreachable);
         return Err(DispatchFailure::Unreachable);
     };
--- a/gateway/src/edge/failover.rs
+++ b/gateway/src/edge/failover.rs
@@ -11,6 +11,7 @@
 use super::placement::PlacedRun;
 use super::state::Edge;
 use crate::ids::ServiceName;
+use crate::scheduler::RunEnd;
 
 /// Time between two attempts to get another endpoint for a request whose endpoint is silent.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -61,17 +62,18 @@
     AnswerWait::Replaced
 }
 
-/// Waits until both the retry budget and the scheduler grant the request another endpoint.
+/// Waits until the retry budget and the scheduler grant the request another endpoint, and a
+/// connection to it is open.
 async fn place_elsewhere(job: &mut ForwardJob) -> PlacedRun {
     let mut is_kept = false;
     loop {
         let cause = match RetryPermit::take(job) {
-            Some(permit) => match place_job(job).await {
+            Some(permit) => match place_reachable(job).await {
                 Ok(run) => {
                     permit.spend();
                     return run;
                 }
-                Err(_) => "no_other_endpoint",
+                Err(cause) => cause,
             },
             None => "retry_budget_empty",
         };
@@ -84,6 +86,18 @@
     }
 }
 
+/// Requests a place at another endpoint and connects to it, because the list of endpoints still
+/// names some that have crashed. Otherwise returns the cause.
+async fn place_reachable(job: &mut ForwardJob) -> Result<PlacedRun, &'static str> {
+    let mut run = place_job(job).await.map_err(|_| "no_other_endpoint")?;
+    let Ok(connection) = job.edge.pool.acquire(&run.endpoint).await else {
+        run.end(RunEnd::Unreachable);
+        return Err("retry_unreachable");
+    };
+    run.connection = Some(connection);
+    Ok(run)
+}
+
 /// A retry taken from the budget. Dropping it returns the retry, because nothing was sent.
 struct RetryPermit {
     edge: Rc<Edge>,
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::connection_pool::EndpointConnection;
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
 use crate::ids::{RouteName, TicketNumber};
@@ -64,6 +65,7 @@
         Ok(Placement::Placed(endpoint)) => Ok(PlacedRun {
             edge: Rc::clone(edge),
             endpoint,
+            connection: None,
             ticket,
             route,
             expected_events,
@@ -85,6 +87,8 @@
 pub(crate) struct PlacedRun {
     edge: Rc<Edge>,
     pub endpoint: Rc<EndpointEntry>,
+    /// Connection on which the request is to be sent, if one was acquired in advance.
+    pub connection: Option<EndpointConnection>,
     ticket: TicketNumber,
     route: RouteName,
     /// Expected number of events.
