Count the wait for a place in the time limit of a resumed stream

Callers of a stream that broke off waited longer than its time limit: by the time that it had waited for a place at the second endpoint.

Cause: resume_stream took the time left before it asked for a place, and used it again as the limit for sending the request.

Evidence: silent_endpoints.rs, time limit 3.4 s, a stream that breaks at once, a place that becomes free after 0.6 s, a second endpoint that hangs.

Change: the limit for sending is the time left when the place is granted.

--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -226,11 +226,12 @@
             dispatches = state.job.dispatches;
             "stream: resuming at another endpoint"
         );
-        let time_left = state.job.deadline.saturating_duration_since(Instant::now());
-        let placing = compio::time::timeout(time_left, place_job(&mut state.job)).await;
+        let deadline = state.job.deadline;
+        let time_left = || deadline.saturating_duration_since(Instant::now());
+        let placing = compio::time::timeout(time_left(), place_job(&mut state.job)).await;
         let Ok(Ok(run)) = placing else { break };
         let sending = send_job(&mut state.job, run, state.last_id);
-        match compio::time::timeout(time_left, sending).await {
+        match compio::time::timeout(time_left(), sending).await {
             Ok(Ok(exchange)) if exchange.response.status().is_success() => {
                 state.source = Some(StreamSource::new(exchange).0);
                 return Ok(());
