--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::connection_pool::EndpointConnection;
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
 use crate::ids::{ContentHash, RouteName, TicketNumber};
@@ -65,6 +66,7 @@
         Ok(Placement::Placed(endpoint)) => Ok(PlacedRun {
             edge: Rc::clone(edge),
             endpoint,
+            connection: None,
             ticket,
             route,
             contents,
@@ -87,6 +89,8 @@
 pub(crate) struct PlacedRun {
     edge: Rc<Edge>,
     pub endpoint: Rc<EndpointEntry>,
+    /// Connection on which the request is to be sent, if one was acquired in advance.
+    pub connection: Option<EndpointConnection>,
     ticket: TicketNumber,
     route: RouteName,
     contents: Rc<[ContentHash]>,
