Close idle connections of a stopping host at once

What callers could see: on a connection that was idle when a host closed it, the host went on reading for 0.5 s. A request that crossed the close was read and discarded, instead of being left unread.

Cause: connections were read after their last answer however long ago that was written.

Evidence: a host whose only caller kept an idle connection left 5,014 and 5,020 ms after SIGTERM, instead of the 4,500 ms of an idle host. That a request was discarded was not observed, it follows from the code.

Change: a connection is read until 0.5 s after its last write.

--- a/gateway/src/edge/lingering_stream.rs
+++ b/gateway/src/edge/lingering_stream.rs
@@ -2,13 +2,13 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
-/// Maximum time for which a connection is read after its last answer.
+/// Maximum time for which a connection is read after its last answer was written.
 const MAX_LINGER_TIME: Duration = Duration::from_millis(500);
 /// Size of a read whose bytes are discarded.
 const DISCARD_BYTES: usize = 8 * 1024;
@@ -18,9 +18,12 @@
 type LingerTimer = Pin<Box<dyn Future<Output = ()>>>;
 
 /// Stream that, after its last answer, reads until the peer closes the connection. Closing a socket
-/// with unread bytes would reset the connection, and the peer could lose the answer.
+/// with unread bytes would reset the connection, and the peer could lose the answer. A connection
+/// that was idle is closed at once: a request that arrives then must not be read.
 pub(crate) struct LingeringStream {
     stream: HyperStream<TcpStream>,
+    /// Time at which bytes were last written.
+    written: Option<Instant>,
     /// Set once the sending side is closed.
     timer: Option<LingerTimer>,
 }
@@ -29,10 +32,19 @@
     pub fn new(stream: TcpStream) -> Self {
         Self {
             stream: HyperStream::new_plain(stream),
+            written: None,
             timer: None,
         }
     }
 
+    /// Returns for how long the peer may still need to receive what was written.
+    fn linger_time(&self) -> Duration {
+        let elapsed = self.written.map(|written| written.elapsed());
+        elapsed.map_or(Duration::ZERO, |elapsed| {
+            MAX_LINGER_TIME.saturating_sub(elapsed)
+        })
+    }
+
     /// Discards what the peer sends; returns `Ready` when it has closed the connection.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DISCARD_BYTES];
@@ -64,6 +76,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.written = Some(Instant::now());
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -72,6 +85,7 @@
         context: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.written = Some(Instant::now());
         Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
@@ -93,9 +107,13 @@
         if self.timer.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
         }
+        let linger_time = self.linger_time();
+        if linger_time.is_zero() {
+            return Poll::Ready(Ok(()));
+        }
         let timer = self
             .timer
-            .get_or_insert_with(|| Box::pin(compio::time::sleep(MAX_LINGER_TIME)));
+            .get_or_insert_with(|| Box::pin(compio::time::sleep(linger_time)));
         let has_expired = timer.as_mut().poll(context).is_ready();
         if has_expired || self.poll_discard(context).is_ready() {
             return Poll::Ready(Ok(()));
