Compute shares of an engine's slots without overflow

An engine reports its capacity and its requests as 32-bit numbers. The owner of its pool multiplied and added them in 32 bits.

The daemon has one loop for everything. Other numbers of reports (ages, running, waiting, bearable, rates) did no harm once these were changed; each was tried with 0, 1 and, rates with 1e308 and -1e300.

Release builds were not run.

--- a/src/baseline.rs
+++ b/src/baseline.rs
@@ -75,7 +75,7 @@
             0 => self.settings.learned.default_capacity,
             capacity => capacity,
         };
-        let limit = reported + self.settings.baseline_accept_depth;
+        let limit = reported.saturating_add(self.settings.baseline_accept_depth);
         endpoint.is_usable()
             && endpoint.held_until(now).is_none()
             && endpoint.flights.len() < limit as usize
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::configs::choice::ChoiceSettings;
-use crate::endpoint_state::EndpointState;
+use crate::endpoint_state::{EndpointState, percentage_of};
 use crate::fairness::QueuedTicket;
 use crate::ids::VersionName;
 use crate::learned::{SpeedTable, Speeds};
@@ -103,7 +103,8 @@
             let cap = endpoint.slow_start.expected_cap(endpoint.limit.limit());
             EndpointState::usable_slots(cap, ticket.tier, self.settings)
         };
-        let slots: u32 = self.endpoints.iter().filter(usable).map(expected_cap).sum();
+        let caps = self.endpoints.iter().filter(usable).map(expected_cap);
+        let slots = caps.fold(0, u32::saturating_add);
         let queue_wait = work_ahead / slots.max(1);
         let mut is_any_usable = false;
         for endpoint in self.endpoints.iter().filter(usable) {
@@ -199,7 +200,7 @@
     ) -> bool {
         let settings = self.settings;
         let long = ticket.tier >= settings.low_tier && forecast.finish >= settings.long_work;
-        let long_work_slots = endpoint.cap() * settings.long_work_percent / 100;
+        let long_work_slots = percentage_of(endpoint.cap(), settings.long_work_percent);
         long && endpoint.occupied() >= long_work_slots.max(1) && speeds.decode >= fastest()
     }
 }
--- a/src/endpoint_state.rs
+++ b/src/endpoint_state.rs
@@ -196,7 +196,7 @@
         if tier < settings.low_tier || cap <= 1 {
             return cap;
         }
-        let reserved = (cap * settings.reserved_percent / 100).max(1);
+        let reserved = percentage_of(cap, settings.reserved_percent).max(1);
         cap.saturating_sub(reserved)
     }
 
@@ -340,3 +340,9 @@
         self.backoff_until = None;
     }
 }
+
+/// Returns a percentage of a number of slots, which an endpoint may report as any number.
+pub(crate) fn percentage_of(slots: u32, percent: u32) -> u32 {
+    let part = u64::from(slots) * u64::from(percent) / 100;
+    u32::try_from(part).unwrap_or(u32::MAX)
+}
--- a/src/learned.rs
+++ b/src/learned.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::configs::learned::LearnedSettings;
+use crate::endpoint_state::percentage_of;
 use crate::ids::{FastMap, VersionName};
 
 /// Rate in tokens per second. It is the ratio of two decayed sums, so long runs weigh more.
@@ -214,14 +215,13 @@
     /// Raises the limit if a run was in time while all slots were occupied.
     pub fn record_timely_run(&mut self, occupied: u32) {
         if occupied >= self.limit {
-            self.limit = (self.limit + 1).min(self.max_limit);
+            self.limit = self.limit.saturating_add(1).min(self.max_limit);
         }
     }
 
     /// Lowers the limit after the endpoint declined a request as full or answered late.
     pub fn record_overload(&mut self, percent: u32) {
-        let lowered = u64::from(self.limit) * u64::from(percent) / 100;
-        self.limit = u32::try_from(lowered).unwrap_or(u32::MAX).max(1);
+        self.limit = percentage_of(self.limit, percent).max(1);
     }
 }
 
--- a/src/pool_grant.rs
+++ b/src/pool_grant.rs
@@ -324,7 +324,8 @@
 
     fn is_highly_loaded(&self, index: usize) -> bool {
         let endpoint = &self.endpoints[index];
-        endpoint.occupied() * 100 >= endpoint.cap() * self.settings.choice.high_load_percent
+        u64::from(endpoint.occupied()) * 100
+            >= u64::from(endpoint.cap()) * u64::from(self.settings.choice.high_load_percent)
     }
 
     fn begin_flight(
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -94,7 +94,11 @@
             return;
         }
         let max_limit = self.bearable.unwrap_or(u32::MAX).max(1);
-        self.limit = (self.limit + 1).min(max_limit).min(learned_limit);
+        self.limit = self
+            .limit
+            .saturating_add(1)
+            .min(max_limit)
+            .min(learned_limit);
         if self.bearable.is_none() && self.limit >= learned_limit {
             self.state = WarmthState::Warm;
         }
