Block contents that crash the endpoints that begin to answer them

Callers saw: one request in twenty held a part of a prompt that crashes each endpoint that begins to answer it. Each such request took down two endpoints, its caller's next attempt two more, and a third of the sound requests were refused or cut meanwhile.

Cause: a crash counted against the endpoint only. What the endpoint was about to answer was forgotten, so no host knew more after the fifth crash than before the first, and one host of nine sees few of the crashes.

Change: `gateway/src/quarantine` keeps, for each incarnation of an endpoint that closed connections, the contents of the requests whose answers it had not begun, joined over all hosts by datagrams (hubs and cells pass them on). A content is blocked by the third moment of such crashes, if no answer with it has gone on since the first while others have, and if it is in most of the crashes of that time. Crashes within 250 ms are one moment, so a lost rack or zone is one piece of evidence; an endpoint that answers within 1.5 s did not crash. Contents that were in all the crashes together are told apart by at most two requests that hold only one of them. A sound answer releases a content, else the 30 minutes after its last crash. A host that starts or returns hears all of it before it serves.

Every dispatch asks, first tries, retries and resumed streams. A request with a blocked content is refused before it is charged or placed: 503 with code 2310, or 502 with 2503 if an endpoint may have run it.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -39,7 +39,7 @@
             state.leaving_since,
         )
     };
-    if version == 0 {
+    if version == 0 || !edge.is_introduced() {
         return Err(ForwardError {
             fault: EdgeFault::NotConfigured,
             retry_after: Some(UNCONFIGURED_RETRY_AFTER),
@@ -78,6 +78,12 @@
     }
     let prompt_parts = headers::text(&parts.headers, &names.prompt_parts);
     let contents = prompt_parts.map_or_else(Vec::new, edge.dialect.parse_shared_parts);
+    if let Err(retry_after) = edge.check_quarantine(id, &contents) {
+        return Err(ForwardError {
+            fault: EdgeFault::Quarantined,
+            retry_after: Some(retry_after),
+        });
+    }
     let usage = headers::text(&parts.headers, &names.token_usage)
         .and_then(|text| (edge.dialect.parse_usage)(text));
     let hint = headers::text(&parts.headers, &names.length_hint).and_then(|text| text.parse().ok());
--- a/gateway/src/edge/datagrams.rs
+++ b/gateway/src/edge/datagrams.rs
@@ -49,6 +49,7 @@
             last_sent = Some(Instant::now());
         }
         send_signal_digest(&edge, &socket).await;
+        send_quarantine_digest(&edge, &socket).await;
         let interval = if edge.is_relayed() {
             RELAYED_REPORT_INTERVAL
         } else {
@@ -81,6 +82,17 @@
     }
 }
 
+/// Sends what this host knows of crashes, if anything is due.
+async fn send_quarantine_digest(edge: &Rc<Edge>, socket: &UdpSocket) {
+    let Some(digest) = edge.next_quarantine_digest() else {
+        return;
+    };
+    let mut bytes = PeerMessage::QuarantineDigest(digest).encode();
+    for host in edge.signal_targets() {
+        bytes = send_datagram(edge, socket, host, bytes).await;
+    }
+}
+
 /// Sends summary rounds while this host is a hub.
 pub(crate) async fn send_summaries(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut round_number: u32 = 0;
@@ -140,6 +152,8 @@
         match PeerMessage::decode(&buffer[..length]) {
             Some(PeerMessage::Heartbeat(heartbeat)) => {
                 if edge.apply_heartbeat(heartbeat) {
+                    let digest = PeerMessage::QuarantineDigest(edge.complete_quarantine_digest());
+                    send_datagram(&edge, &socket, sender.ip(), digest.encode()).await;
                     let bytes = PeerMessage::Heartbeat(edge.build_introduction()).encode();
                     send_datagram(&edge, &socket, sender.ip(), bytes).await;
                 }
@@ -147,6 +161,7 @@
             Some(PeerMessage::HubSummary(summary)) => edge.apply_summary(summary),
             Some(PeerMessage::CellSummary(summary)) => edge.apply_cell_summary(summary),
             Some(PeerMessage::SignalDigest(digest)) => edge.apply_signal_digest(digest),
+            Some(PeerMessage::QuarantineDigest(digest)) => edge.apply_quarantine_digest(&digest),
             None => edge.count("beat_unreadable"),
         }
     }
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -37,6 +37,8 @@
     /// The endpoint responded with an error that is not passed on: another endpoint may run the
     /// request, or the status would promise that it was not run.
     Failed,
+    /// The request holds a content that crashes endpoints, and was not sent.
+    Quarantined,
 }
 
 impl DispatchFailure {
@@ -48,6 +50,7 @@
             Self::MayHaveRun => "retry_broken",
             Self::Silent => "retry_silent",
             Self::Failed => "retry_failed",
+            Self::Quarantined => "quarantined_unsent",
         }
     }
 }
@@ -60,6 +63,10 @@
     run: PlacedRun,
     resume_after: Option<u64>,
 ) -> Result<EndpointExchange, DispatchFailure> {
+    if job.edge.admit_dispatch(&job.contents).is_err() {
+        run.end(RunEnd::Abandoned);
+        return Err(DispatchFailure::Quarantined);
+    }
     let endpoint = Rc::clone(&run.endpoint);
     job.tried.push(endpoint.id.clone());
     job.dispatches += 1;
@@ -125,6 +132,7 @@
         return Err(DispatchFailure::NotRun);
     }
     record_signals(&job.edge, &run.endpoint, status, head, asked);
+    job.edge.record_endpoint_alive(&run.endpoint, asked);
     if head.contains_key(&names.not_run) {
         job.runs -= 1;
         run.end(RunEnd::NotRun);
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -232,6 +232,9 @@
                     dispatches = job.dispatches, runs = job.runs;
                     "request: not answered"
                 );
+                if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
+                    return Err(quarantine_error(job, retry_after));
+                }
                 if !may_retry(job, failure) {
                     return Err(exhausted_error(job));
                 }
@@ -242,6 +245,9 @@
 
 /// Requests an endpoint from the scheduler that has not received this request yet.
 pub(crate) async fn place_job(job: &mut ForwardJob) -> Result<PlacedRun, ForwardError> {
+    if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
+        return Err(quarantine_error(job, retry_after));
+    }
     let (prompt_tokens, _) = job.usage.unwrap_or_default();
     let item = WorkItem {
         ticket: 0,
@@ -288,6 +294,7 @@
         return false;
     }
     let allowed = match failure {
+        DispatchFailure::Quarantined => return false,
         DispatchFailure::Unreachable => return true,
         DispatchFailure::NotRun => true,
         DispatchFailure::MayHaveRun | DispatchFailure::Silent | DispatchFailure::Failed => {
@@ -309,6 +316,17 @@
     granted
 }
 
+/// Returns the error of a request that holds a blocked content.
+fn quarantine_error(job: &ForwardJob, retry_after: Duration) -> ForwardError {
+    if job.runs > 0 {
+        return EdgeFault::QuarantinedRun.into();
+    }
+    ForwardError {
+        fault: EdgeFault::Quarantined,
+        retry_after: Some(retry_after),
+    }
+}
+
 /// Returns the error of a request that may not be dispatched again.
 fn exhausted_error(job: &ForwardJob) -> ForwardError {
     if job.runs > 0 {
--- a/gateway/src/edge/metrics.rs
+++ b/gateway/src/edge/metrics.rs
@@ -52,6 +52,8 @@
     pub feed_ages: Vec<(FeedTopic, Duration)>,
     /// Endpoints that restrict the requests of this host.
     pub signals: SignalCounts,
+    /// Contents of requests that are blocked because they crash endpoints.
+    pub contents_blocked: usize,
     /// Removals of endpoints that are held back.
     pub removals_held: usize,
     /// Time for which the oldest of these removals has been held back.
@@ -73,6 +75,7 @@
     endpoints_limited: Gauge,
     endpoints_paused: Gauge,
     endpoints_leaving: Gauge,
+    contents_blocked: Gauge,
     waiting: Family<TierLabel, Gauge>,
     feed_age: Family<FeedLabel, Gauge<f64, std::sync::atomic::AtomicU64>>,
     removals_held: Gauge,
@@ -97,6 +100,7 @@
             endpoints_limited: Gauge::default(),
             endpoints_paused: Gauge::default(),
             endpoints_leaving: Gauge::default(),
+            contents_blocked: Gauge::default(),
             waiting: Family::default(),
             feed_age: Family::default(),
             removals_held: Gauge::default(),
@@ -171,6 +175,11 @@
                 "Endpoints that said that they are about to stop",
                 &self.endpoints_leaving,
             ),
+            (
+                "contents_blocked",
+                "Contents of requests that are blocked because they crash endpoints",
+                &self.contents_blocked,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -217,6 +226,8 @@
         self.endpoints_limited.set(gauge_value(signals.limited));
         self.endpoints_paused.set(gauge_value(signals.paused));
         self.endpoints_leaving.set(gauge_value(signals.leaving));
+        self.contents_blocked
+            .set(gauge_value(gauges.contents_blocked));
         self.waiting.clear();
         for (tier, waiting) in &gauges.waiting {
             let tier = u32::from(*tier);
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod peer_messages;
 mod placement;
+mod quarantine_control;
 mod reply;
 mod rollout_control;
 mod run;
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::quarantine_control::hex_list;
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
 use crate::ids::{ContentHash, RouteName, TicketNumber};
@@ -110,7 +111,44 @@
             self.first_event = Some(Instant::now());
             self.record_first_byte();
         }
+        let has_gone_on = self.events <= 1 && self.events + events > 1;
         self.events += events;
+        if has_gone_on {
+            self.record_sound_answer();
+        }
+    }
+
+    /// Records that the endpoint has begun the answer without crashing.
+    fn record_sound_answer(&self) {
+        let begun = self.first_event.unwrap_or(self.placed_at);
+        self.edge.record_sound_answer(&self.contents, begun);
+    }
+
+    /// Records what the end of the run says about crashes of the endpoint.
+    fn record_crash_evidence(&self, end: RunEnd) {
+        match end {
+            RunEnd::Completed if self.events <= 1 => self.record_sound_answer(),
+            RunEnd::Disconnected => {
+                let (endpoint, contents) = (&self.endpoint, &self.contents);
+                log::info!(
+                    endpoint = endpoint.id.as_str(), events = self.events, contents = hex_list(contents).as_str();
+                    "endpoint: connection ended early"
+                );
+                if self.events <= 1 {
+                    self.edge.record_crash(endpoint, contents);
+                }
+            }
+            RunEnd::Unreachable => {
+                self.edge.record_endpoint_unreachable(&self.endpoint);
+                self.edge.return_dispatch(&self.contents);
+            }
+            RunEnd::NotRun | RunEnd::Misdirected => self.edge.return_dispatch(&self.contents),
+            RunEnd::Completed
+            | RunEnd::Failed
+            | RunEnd::Broken
+            | RunEnd::Stalled
+            | RunEnd::Abandoned => {}
+        }
     }
 
     /// Returns whether any event has been received.
@@ -153,17 +191,7 @@
     /// Reports the end of the run to the rollouts and the scheduler.
     fn report_end(&mut self, end: RunEnd) {
         self.ended = true;
-        if end == RunEnd::Disconnected {
-            let contents: Vec<_> = self
-                .contents
-                .iter()
-                .map(|hash| format!("{hash:016x}"))
-                .collect();
-            log::info!(
-                endpoint = self.endpoint.id.as_str(), events = self.events, contents = contents.join(",").as_str();
-                "endpoint: connection ended early"
-            );
-        }
+        self.record_crash_evidence(end);
         if let Some(run) = self.version_run(end) {
             self.edge.record_run(&run);
         }
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -35,6 +35,10 @@
     EndpointsRefused,
     /// All endpoints of the service limit their requests or pause.
     EndpointsRestricted,
+    /// The request holds a content that crashes endpoints.
+    Quarantined,
+    /// As `Quarantined`, after an endpoint may have run the request.
+    QuarantinedRun,
 }
 
 impl EdgeFault {
@@ -65,13 +69,15 @@
                 StatusCode::SERVICE_UNAVAILABLE,
                 "endpoints_restricted",
             ),
+            Self::Quarantined => (2310, StatusCode::SERVICE_UNAVAILABLE, "quarantined"),
             Self::Timeout => (2501, StatusCode::GATEWAY_TIMEOUT, "timeout"),
             Self::EndpointBroken => (2502, StatusCode::BAD_GATEWAY, "endpoint_broken"),
+            Self::QuarantinedRun => (2503, StatusCode::BAD_GATEWAY, "quarantined_after_run"),
         }
     }
 
     /// All faults, ordered by code.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 19] = [
         Self::NoRoute,
         Self::UnknownKey,
         Self::BodyTooLarge,
@@ -87,8 +93,10 @@
         Self::TimeoutUnrun,
         Self::EndpointsRefused,
         Self::EndpointsRestricted,
+        Self::Quarantined,
         Self::Timeout,
         Self::EndpointBroken,
+        Self::QuarantinedRun,
     ];
 
     /// Returns the reason used in logs and counters.
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -21,6 +21,7 @@
 use crate::membership::{
     FeedPositions, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, RelayPlan, UpdateQueue,
 };
+use crate::quarantine::QuarantineTable;
 use crate::rollouts::RolloutController;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
 
@@ -38,6 +39,7 @@
     pub caps: UsageCaps,
     pub budget: RetryBudget,
     pub rollouts: RolloutController,
+    pub quarantine: QuarantineTable,
     pub members: MemberTable,
     pub feed_positions: FeedPositions,
     /// Hubs and store readers, as derived from the known hosts.
@@ -70,6 +72,8 @@
     pub(super) live_hosts: Vec<HostAddress>,
     /// Whether a complete list of endpoints has been received. Endpoints that appear later are new.
     pub(super) endpoints_listed: bool,
+    /// Whether a peer has reported all that it knows of blocked contents.
+    pub(super) is_introduced: bool,
     /// Time at which the shutdown of this host started.
     pub leaving_since: Option<Instant>,
 }
@@ -85,6 +89,7 @@
     /// Number of requests that were admitted and whose responses are not complete.
     pub(crate) in_flight: Cell<usize>,
     pub(crate) incarnation: Incarnation,
+    pub(super) started: Instant,
     pub(super) random: RefCell<SmallRng>,
 }
 
@@ -109,6 +114,7 @@
             caps: UsageCaps::new(settings.cap_tolerance),
             budget: RetryBudget::new(settings.retry_budget.clone()),
             rollouts: RolloutController::new(settings.rollout_exposure),
+            quarantine: QuarantineTable::default(),
             members,
             feed_positions: FeedPositions::default(),
             relay_plan: RelayPlan::default(),
@@ -128,6 +134,7 @@
             member_view: MemberView::default(),
             live_hosts: Vec::new(),
             endpoints_listed: false,
+            is_introduced: false,
             leaving_since: None,
         };
         Rc::new(Self {
@@ -139,6 +146,7 @@
             metrics: EdgeMetrics::default(),
             in_flight: Cell::new(0),
             incarnation,
+            started: now,
             random: RefCell::new(random),
         })
     }
@@ -171,7 +179,10 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.leaving_since.is_none() && state.catalog.version() > 0 && state.endpoints_listed
+        state.leaving_since.is_none()
+            && state.catalog.version() > 0
+            && state.endpoints_listed
+            && self.is_introduced()
     }
 
     /// Returns the version of the configuration in force, or 0 before the first one.
@@ -265,6 +276,7 @@
             waiting: state.scheduler.waiting_by_tier(),
             feed_ages: state.feed_positions.ages(now),
             signals: state.scheduler.signal_counts(now),
+            contents_blocked: state.quarantine.blocked_count(),
             removals_held: held.len(),
             removal_held_for: held.first().map(|held| now.duration_since(held.since)),
         }
@@ -320,6 +332,7 @@
             });
         }
         self.update_live_hosts(now);
+        self.tick_quarantine(now);
         if has_waiting {
             self.schedule(SchedulerEvent::Tick);
         }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -38,6 +38,11 @@
             repeats.then(|| now + REPEAT_INTERVAL)
         };
     }
+
+    /// Returns whether another report follows.
+    pub fn is_scheduled(&self) -> bool {
+        self.next.is_some()
+    }
 }
 
 /// Returns the age of `time` in milliseconds.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod limits;
 pub mod membership;
+pub mod quarantine;
 mod rendezvous;
 pub mod rollouts;
 pub mod scheduler;
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -20,5 +20,7 @@
     MemberReport,
 };
 pub use members::{MemberChange, MemberTable, MemberView};
-pub use peer_message::{MAX_DATAGRAM_BYTES, PeerHeartbeat, PeerMessage, SignalDigest};
+pub use peer_message::{
+    MAX_DATAGRAM_BYTES, PeerHeartbeat, PeerMessage, QuarantineDigest, SignalDigest,
+};
 pub use relay_plan::{MAX_CELL_HOSTS, RelayCandidate, RelayPlan, STORE_READERS};
--- a/gateway/src/membership/peer_message.rs
+++ b/gateway/src/membership/peer_message.rs
@@ -7,6 +7,7 @@
 use crate::backpressure::SignalReport;
 use crate::ids::HostAddress;
 use crate::limits::UsageReport;
+use crate::quarantine::QuarantineReport;
 use crate::rollouts::RolloutReport;
 use crate::scheduler::{EndpointReport, PaceReport};
 
@@ -40,6 +41,15 @@
     pub reports: Vec<SignalReport>,
 }
 
+/// What a host knows of crashes and of the contents that cause them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineDigest {
+    pub sender: HostAddress,
+    /// Whether the sender reports all that it knows, to a host that was not heard before.
+    pub is_complete: bool,
+    pub reports: Vec<QuarantineReport>,
+}
+
 /// Size of the largest datagram that a host receives, close to the maximum of UDP.
 pub const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -50,6 +60,7 @@
     HubSummary(HubSummary),
     CellSummary(CellSummary),
     SignalDigest(SignalDigest),
+    QuarantineDigest(QuarantineDigest),
 }
 
 impl PeerMessage {
