Send a share of requests with a word that crashes endpoints

Without it nothing more is drawn, so the plan of a seed is the same.

The five tests of the load tool pass, one of them new. Its run function takes more arguments; what the other four check is unchanged.

--- a/stand-ins/src/bin/load-tool.rs
+++ b/stand-ins/src/bin/load-tool.rs
@@ -13,7 +13,7 @@
 use stand_ins::load::caller::LoadCaller;
 use stand_ins::load::directory::HostDirectory;
 use stand_ins::load::summary::LoadSummary;
-use stand_ins::load::workload::{LoadBurst, Workload};
+use stand_ins::load::workload::{CrashWord, LoadBurst, Workload};
 use stand_ins::server::start_logging;
 
 /// Pause between discoveries while no address answers at start.
@@ -40,6 +40,10 @@
     /// Burst as START,LENGTH,FACTOR with times in seconds; repeatable.
     #[arg(long = "burst")]
     bursts: Vec<BurstFlag>,
+    /// Word that crashes endpoints and the share of the model requests with it, as WORD,SHARE;
+    /// overrides the file.
+    #[arg(long)]
+    crash_word: Option<CrashWord>,
     /// Pool of the model requests in the built-in mix.
     #[arg(long, default_value = "engines")]
     engine_pool: String,
@@ -146,6 +150,7 @@
     workload
         .bursts
         .extend(args.bursts.iter().map(|flag| flag.0));
+    workload.crash_word = args.crash_word.clone().or(workload.crash_word);
     for named in &args.workspaces {
         workload
             .workspaces
--- a/stand-ins/src/load/workload.rs
+++ b/stand-ins/src/load/workload.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::str::FromStr;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde::Deserialize;
 
+use crate::behaviour::check_ratio;
+
 /// A workload file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -19,9 +22,30 @@
     pub workspaces: BTreeMap<String, String>,
     #[serde(default)]
     pub bursts: Vec<LoadBurst>,
+    #[serde(default)]
+    pub crash_word: Option<CrashWord>,
     pub mix: Vec<MixEntry>,
 }
 
+/// A word that crashes endpoints, and the share of the model requests whose prompts have it.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CrashWord {
+    pub word: String,
+    pub share: f64,
+}
+
+impl FromStr for CrashWord {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (word, share) = text.split_once(',').ok_or("expected WORD,SHARE")?;
+        let share = share.parse().map_err(|_| "the share is not a number")?;
+        let word = word.to_owned();
+        Ok(Self { word, share })
+    }
+}
+
 /// A period with more load.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -108,6 +132,8 @@
     pub prompt_words: u32,
     pub prefix: u32,
     pub max_tokens: u32,
+    /// Word of the prompt that crashes endpoints.
+    pub crash_word: Option<String>,
 }
 
 impl NumberSpread {
@@ -153,6 +179,8 @@
         if self.mix.is_empty() {
             return Err("mix is empty".to_owned());
         }
+        let crash_word = self.crash_word.as_ref();
+        check_ratio("crash_word", crash_word.map_or(0.0, |crash| crash.share))?;
         self.mix
             .iter()
             .try_for_each(|entry| self.check_entry(entry))
@@ -229,9 +257,17 @@
             prompt_words: entry.prompt_words.draw(generator),
             prefix: generator.random_range(0..entry.shared_prefixes.max(1)),
             max_tokens: entry.max_tokens.draw(generator),
+            crash_word: self.draw_crash_word(entry, generator),
         }
     }
 
+    // Nothing is drawn without a crash word, so that the plan of a seed stays the same.
+    fn draw_crash_word(&self, entry: &MixEntry, generator: &mut StdRng) -> Option<String> {
+        let crash = self.crash_word.as_ref()?;
+        let is_drawn = generator.random::<f64>() < crash.share;
+        (is_drawn && entry.kind == RequestKind::Model).then(|| crash.word.clone())
+    }
+
     fn draw_token(&self, entry: &MixEntry, generator: &mut StdRng) -> String {
         if let Some(token) = &entry.token {
             return token.clone();
@@ -278,6 +314,7 @@
             duration_seconds: seconds,
             workspaces: BTreeMap::new(),
             bursts: Vec::new(),
+            crash_word: None,
             mix: vec![
                 model("question", 0, range(10, 60), range(16, 64), 5000, 0.5),
                 model("tag", 2, range(40, 200), range(2, 8), 20_000, 0.3),
@@ -296,11 +333,19 @@
 }
 
 impl PlannedRequest {
-    /// Writes the prompt: a prefix that requests of the class share, then words of this request.
+    /// Writes the prompt: a prefix that requests of the class share, the crash word if there is one,
+    /// then words of this request. The crash word is never the last one.
     #[must_use]
     pub fn prompt(&self, entry: &MixEntry) -> String {
         let mut prompt = String::new();
+        let last = self.prompt_words.saturating_sub(1);
         for index in 0..self.prompt_words {
+            if let Some(word) = &self.crash_word
+                && index == entry.shared_prefix_words.min(last)
+            {
+                prompt.push_str(word);
+                prompt.push(' ');
+            }
             let written = if index < entry.shared_prefix_words {
                 write!(prompt, "{}{}p{index} ", entry.name, self.prefix)
             } else {
--- a/stand-ins/tests/load_tool.rs
+++ b/stand-ins/tests/load_tool.rs
@@ -32,6 +32,8 @@
     /// Method and path of every request but discovery.
     seen: RefCell<Vec<String>>,
     discoveries: Cell<u32>,
+    /// Prompts of the model requests.
+    prompts: RefCell<Vec<String>>,
     /// By key.
     max_tokens: RefCell<HashMap<String, u64>>,
 }
@@ -72,6 +74,9 @@
         .strip_prefix("/v1/requests/")
         .map_or(body["key"].clone(), |key| json!(key));
     let key = key.as_str().expect("a key").to_owned();
+    if let Some(prompt) = body["prompt"].as_str() {
+        script.prompts.borrow_mut().push(prompt.to_owned());
+    }
     if let Some(max_tokens) = body["max_tokens"].as_u64() {
         script
             .max_tokens
@@ -106,12 +111,18 @@
 }
 
 async fn run_against(scripted: ScriptedAnswer) -> (Value, Vec<String>) {
+    let (summary, script) = run_with(scripted, &[]).await;
+    (summary, script.seen.take())
+}
+
+async fn run_with(scripted: ScriptedAnswer, arguments: &[&str]) -> (Value, Rc<EntryScript>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let script = Rc::new(EntryScript {
         address: listener.local_addr().expect("an address").to_string(),
         answer: scripted,
         seen: RefCell::default(),
         discoveries: Cell::new(0),
+        prompts: RefCell::default(),
         max_tokens: RefCell::default(),
     });
     let serving = Rc::clone(&script);
@@ -128,6 +139,7 @@
             "5",
         ])
         .args(["--rate", "50", "--seconds", "1", "--seed", "7"])
+        .args(arguments)
         .stdout(Stdio::piped())
         .spawn()
         .expect("the load tool starts");
@@ -141,7 +153,7 @@
     assert!(output.status.success());
     assert_eq!(script.discoveries.get(), 1, "the discovery answer is kept");
     let summary = serde_json::from_slice(&output.stdout).expect("a JSON summary");
-    (summary, script.seen.take())
+    (summary, script)
 }
 
 fn total(summary: &Value, field: &str) -> u64 {
@@ -217,3 +229,26 @@
         );
     }
 }
+
+/// Guards against a load tool that sends the crash word in another share of its prompts, or as their
+/// last word, or without being told to.
+#[compio::test]
+async fn a_share_of_the_prompts_has_the_crash_word() {
+    let arguments = ["--crash-word", "poison,0.3"];
+    let (summary, script) = run_with(ScriptedAnswer::Whole, &arguments).await;
+    assert_eq!(total(&summary, "complete_in_time"), total(&summary, "sent"));
+    let prompts = script.prompts.take();
+    let words = prompts
+        .iter()
+        .map(|prompt| prompt.split_whitespace().collect());
+    let (deadly, sound): (Vec<Vec<_>>, Vec<Vec<_>>) =
+        words.partition(|words: &Vec<&str>| words.contains(&"poison"));
+    // Three tenths of some 45 prompts, within what chance may draw.
+    let is_share_right = (prompts.len()..prompts.len() * 5).contains(&(deadly.len() * 10));
+    assert!(is_share_right, "{} of {}", deadly.len(), prompts.len());
+    assert!(!sound.is_empty());
+    assert!(deadly.iter().all(|words| words.last() != Some(&"poison")));
+    let (_, without) = run_with(ScriptedAnswer::Whole, &[]).await;
+    let without = without.prompts.take();
+    assert!(without.iter().all(|prompt| !prompt.contains("poison")));
+}
