--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -8,8 +8,9 @@
 use http_util::{BodyError, head_bytes, read_body};
 use hyper::body::Incoming;
 
-use super::forward::{ForwardError, ForwardJob, InFlightGuard};
+use super::forward::{ForwardError, ForwardJob};
 use super::headers;
+use super::in_flight::InFlightGuard;
 use super::reply::EdgeFault;
 use super::state::Edge;
 use crate::catalog::{RouteEntry, RoutingTable, WorkspaceEntry};
@@ -18,8 +19,6 @@
 /// Time after the start of the shutdown for which new requests are still accepted. Callers need it
 /// to learn of another host. Later requests could not be finished within the grace period.
 const LEAVING_ACCEPT_WINDOW: Duration = Duration::from_millis(2_500);
-/// Retry delay sent to callers of a stopping host. They find another host at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Retry delay sent to callers before the first configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -30,13 +29,12 @@
     id: &CompactString,
     arrived: Instant,
 ) -> Result<ForwardJob, ForwardError> {
-    let (routing, limits, version, leaving) = {
+    let (routing, limits, version) = {
         let state = edge.state.borrow();
         (
             state.catalog.routing(),
             state.catalog.limits(),
             state.catalog.version(),
-            state.leaving_since,
         )
     };
     if version == 0 || !edge.is_introduced() {
@@ -48,7 +46,7 @@
     if head_bytes(&request) > limits.max_header_bytes {
         return Err(EdgeFault::HeadTooLarge.into());
     }
-    let in_flight = InFlightGuard::new(edge);
+    let in_flight = InFlightGuard::new(edge, id);
     let (parts, body) = request.into_parts();
     let names = &edge.dialect.headers;
     let host = headers::text(&parts.headers, &header::HOST)
@@ -63,18 +61,20 @@
         route,
         headers::text(&parts.headers, &names.api_key),
     )?;
-    let body = read_body(body, limits.max_body_bytes, limits.idle_timeout)
+    let reading = read_body(body, limits.max_body_bytes, limits.idle_timeout);
+    let body = edge
+        .stop_gate
+        .run_until_open(reading)
         .await
+        .ok_or_else(ForwardError::stopping)?
         .map_err(|error| match error {
             BodyError::TooLarge { .. } => EdgeFault::BodyTooLarge,
             BodyError::TooSlow { .. } => EdgeFault::BodyTooSlow,
             BodyError::Truncated => EdgeFault::BodyCut,
         })?;
-    if leaving.is_some_and(|since| since.elapsed() > LEAVING_ACCEPT_WINDOW) {
-        return Err(ForwardError {
-            fault: EdgeFault::Stopping,
-            retry_after: Some(STOPPING_RETRY_AFTER),
-        });
+    // The body may have taken long: the shutdown may have started since the head arrived.
+    if is_too_late(edge) {
+        return Err(ForwardError::stopping());
     }
     let prompt_parts = headers::text(&parts.headers, &names.prompt_parts);
     let contents = prompt_parts.map_or_else(Vec::new, edge.dialect.parse_shared_parts);
@@ -120,10 +120,18 @@
         dispatches: 0,
         waited: Duration::ZERO,
         first_byte: None,
+        next_run: None,
         in_flight,
     })
 }
 
+/// Returns whether the shutdown of this host is too far advanced for new requests.
+fn is_too_late(edge: &Edge) -> bool {
+    let leaving_since = edge.state.borrow().leaving_since;
+    edge.stop_gate.is_open()
+        || leaving_since.is_some_and(|since| since.elapsed() > LEAVING_ACCEPT_WINDOW)
+}
+
 /// Returns the workspace to which the key belongs. Requests without a known workspace are only
 /// admitted on public routes.
 fn find_workspace(
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -14,7 +14,9 @@
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
+use super::failover::{AnswerWait, wait_or_fail_over};
 use super::headers;
+use super::in_flight::InFlightGuard;
 use super::placement::{PlacedRun, place_request};
 use super::reply::{EdgeFault, fault_reply};
 use super::state::Edge;
@@ -24,6 +26,8 @@
 
 /// Maximum size of a response that is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Retry delay sent to callers of a stopping host. They find another host at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Retry delay sent to callers when endpoints rejected the request without running it.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum number of dispatches of one request, including those that did not run.
@@ -60,34 +64,22 @@
     pub waited: Duration,
     /// Time from the arrival to the first byte of the response.
     pub first_byte: Option<Duration>,
-    #[expect(
-        dead_code,
-        reason = "counts the request until its response is complete"
-    )]
+    /// Place at another endpoint that was granted because the current one is silent.
+    pub next_run: Option<PlacedRun>,
+    /// Counts the request until its response is complete.
     pub in_flight: InFlightGuard,
 }
 
-/// Counts a request as in flight until its response is complete.
-pub(crate) struct InFlightGuard(Rc<Edge>);
-
-impl InFlightGuard {
-    pub fn new(edge: &Rc<Edge>) -> Self {
-        edge.in_flight.set(edge.in_flight.get() + 1);
-        Self(Rc::clone(edge))
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 impl ForwardJob {
     /// Returns whether another endpoint may run the request although one may have run it already.
     pub fn may_run_again(&self) -> bool {
         self.route.kind.is_repeatable() && self.runs < self.route.max_attempts
     }
+
+    /// Returns whether another endpoint may be requested while the current one is silent.
+    pub fn may_fail_over(&self) -> bool {
+        self.may_run_again() && self.dispatches < MAX_DISPATCHES
+    }
 }
 
 /// A rejection or failure that the gateway itself reports to the caller.
@@ -96,6 +88,16 @@
     pub retry_after: Option<Duration>,
 }
 
+impl ForwardError {
+    /// Returns the rejection of a request that did not run because this host is stopping.
+    pub fn stopping() -> Self {
+        Self {
+            fault: EdgeFault::Stopping,
+            retry_after: Some(STOPPING_RETRY_AFTER),
+        }
+    }
+}
+
 impl From<EdgeFault> for ForwardError {
     fn from(fault: EdgeFault) -> Self {
         Self {
@@ -112,6 +114,13 @@
     pub response: Response<Incoming>,
 }
 
+/// Answer of an endpoint to an admitted request.
+enum EndpointReply {
+    Complete(Response<EdgeBody>),
+    /// A stream whose events are relayed as they arrive.
+    Stream(EndpointExchange),
+}
+
 /// Admits and forwards a caller's request and returns the response to it.
 pub(crate) async fn forward_request(
     edge: Rc<Edge>,
@@ -145,51 +154,55 @@
     fault_reply(error.fault, error.retry_after)
 }
 
-/// Runs an admitted request within its time limit.
+/// Runs an admitted request within its time limit and the grace period of a shutdown.
 async fn run_job(mut job: ForwardJob) -> Response<EdgeBody> {
     let edge = Rc::clone(&job.edge);
     {
         let state = &mut *edge.state.borrow_mut();
         state.budget.record_request(&job.service, job.arrived);
     }
+    // The future is large, and those of all callers' connections are moved around.
+    let answering = Box::pin(answer_within_deadline(&mut job));
+    let outcome = edge.stop_gate.run_until_open(answering).await;
+    let error = match outcome {
+        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, exchange),
+        Some(Ok(EndpointReply::Complete(reply))) => {
+            log_request_end(&job, reply.status(), "answered");
+            return reply;
+        }
+        Some(Err(error)) => error,
+        None if job.runs > 0 => EdgeFault::GraceEnded.into(),
+        None => ForwardError::stopping(),
+    };
+    if job.runs == 0 {
+        refund_usage(&job);
+    }
+    log_request_end(
+        &job,
+        error.fault.code_status_reason().1,
+        error.fault.reason(),
+    );
+    refuse(&edge, &job.id, job.arrived, &error)
+}
+
+/// Dispatches the request and reads the answer, unless it is a stream, within the time limit.
+async fn answer_within_deadline(job: &mut ForwardJob) -> Result<EndpointReply, ForwardError> {
     let remaining = job
         .deadline
         .saturating_duration_since(Instant::now())
         .saturating_sub(RESPONSE_MARGIN);
-    let outcome = compio::time::timeout(remaining, open_exchange(&mut job)).await;
-    let result = match outcome {
-        Ok(Ok(exchange))
-            if job.route.kind.is_stream() && exchange.response.status().is_success() =>
-        {
-            return relay_events(job, exchange);
-        }
-        Ok(Ok(exchange)) => {
-            let remaining = job.deadline.saturating_duration_since(Instant::now());
-            match compio::time::timeout(remaining, read_response(&mut job, exchange)).await {
-                Ok(result) => result,
-                Err(_) => Err(EdgeFault::Timeout.into()),
-            }
-        }
-        Ok(Err(error)) => Err(error),
-        Err(_) if job.runs > 0 => Err(EdgeFault::Timeout.into()),
-        Err(_) => Err(EdgeFault::TimeoutUnrun.into()),
+    let exchange = match compio::time::timeout(remaining, open_exchange(job)).await {
+        Ok(opened) => opened?,
+        Err(_) if job.runs > 0 => return Err(EdgeFault::Timeout.into()),
+        Err(_) => return Err(EdgeFault::TimeoutUnrun.into()),
     };
-    match result {
-        Ok(reply) => {
-            log_request_end(&job, reply.status(), "answered");
-            reply
-        }
-        Err(error) => {
-            if job.runs == 0 {
-                refund_usage(&job);
-            }
-            log_request_end(
-                &job,
-                error.fault.code_status_reason().1,
-                error.fault.reason(),
-            );
-            refuse(&edge, &job.id, job.arrived, &error)
-        }
+    if job.route.kind.is_stream() && exchange.response.status().is_success() {
+        return Ok(EndpointReply::Stream(exchange));
+    }
+    let remaining = job.deadline.saturating_duration_since(Instant::now());
+    match compio::time::timeout(remaining, read_response(job, exchange)).await {
+        Ok(read) => read.map(EndpointReply::Complete),
+        Err(_) => Err(EdgeFault::Timeout.into()),
     }
 }
 
@@ -245,6 +258,9 @@
 
 /// Requests an endpoint from the scheduler that has not received this request yet.
 pub(crate) async fn place_job(job: &mut ForwardJob) -> Result<PlacedRun, ForwardError> {
+    if let Some(run) = job.next_run.take() {
+        return Ok(run);
+    }
     if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
         return Err(quarantine_error(job, retry_after));
     }
@@ -290,6 +306,10 @@
 
 /// Returns whether the request may be dispatched again after this failure.
 pub(crate) fn may_retry(job: &ForwardJob, failure: DispatchFailure) -> bool {
+    // The retry was taken from the budget together with the place.
+    if job.next_run.is_some() {
+        return true;
+    }
     if job.dispatches >= MAX_DISPATCHES || Instant::now() >= job.deadline {
         return false;
     }
@@ -351,20 +371,23 @@
         let failed = parts.status.is_server_error();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let collected = compio::time::timeout(body_timeout(job), reading).await;
-        let Ok(Ok(collected)) = collected else {
-            let end = if collected.is_ok() {
-                RunEnd::Disconnected
-            } else {
-                RunEnd::Stalled
-            };
-            exchange.run.end(end);
-            if !may_retry(job, DispatchFailure::MayHaveRun) {
-                return Err(EdgeFault::EndpointBroken.into());
+        let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
+            AnswerWait::Ended(Ok(collected)) => Ok(collected),
+            AnswerWait::Ended(Err(_)) => Err((RunEnd::Disconnected, DispatchFailure::MayHaveRun)),
+            AnswerWait::Replaced => Err((RunEnd::Stalled, DispatchFailure::Silent)),
+        };
+        let collected = match collected {
+            Ok(collected) => collected,
+            Err((end, failure)) => {
+                exchange.run.end(end);
+                drop(exchange.connection);
+                if !may_retry(job, failure) {
+                    return Err(EdgeFault::EndpointBroken.into());
+                }
+                job.edge.count(failure.cause());
+                exchange = open_exchange(job).await?;
+                continue;
             }
-            job.edge.count(DispatchFailure::MayHaveRun.cause());
-            exchange = open_exchange(job).await?;
-            continue;
         };
         let end = if failed {
             RunEnd::Failed
@@ -385,15 +408,11 @@
     }
 }
 
-/// Returns the time limit for reading a body. If the request may run again, half of the remaining
-/// time is reserved for another endpoint.
-fn body_timeout(job: &ForwardJob) -> Duration {
+/// Returns the time for reading a body after which another endpoint is requested, which leaves half
+/// of the remaining time to it, or `None` if the request may not run again.
+fn body_limit(job: &ForwardJob) -> Option<Duration> {
     let remaining = job.deadline.saturating_duration_since(Instant::now());
-    if job.may_run_again() {
-        remaining / 2
-    } else {
-        remaining
-    }
+    job.may_fail_over().then_some(remaining / 2)
 }
 
 /// Returns the body of the reply, which is empty for HEAD requests.
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -31,6 +31,9 @@
     Timeout,
     /// The endpoint failed without a response and may have run the request.
     EndpointBroken,
+    /// The grace period of a stopping host ended while an endpoint may have been running the
+    /// request.
+    GraceEnded,
     /// Endpoints rejected the request without running it, and no further attempt is allowed.
     EndpointsRefused,
     /// All endpoints of the service limit their requests or pause.
@@ -72,12 +75,13 @@
             Self::Quarantined => (2310, StatusCode::SERVICE_UNAVAILABLE, "quarantined"),
             Self::Timeout => (2501, StatusCode::GATEWAY_TIMEOUT, "timeout"),
             Self::EndpointBroken => (2502, StatusCode::BAD_GATEWAY, "endpoint_broken"),
-            Self::QuarantinedRun => (2503, StatusCode::BAD_GATEWAY, "quarantined_after_run"),
+            Self::GraceEnded => (2503, StatusCode::GATEWAY_TIMEOUT, "grace_ended"),
+            Self::QuarantinedRun => (2504, StatusCode::BAD_GATEWAY, "quarantined_after_run"),
         }
     }
 
     /// All faults, ordered by code.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::NoRoute,
         Self::UnknownKey,
         Self::BodyTooLarge,
@@ -96,6 +100,7 @@
         Self::Quarantined,
         Self::Timeout,
         Self::EndpointBroken,
+        Self::GraceEnded,
         Self::QuarantinedRun,
     ];
 
