Weigh the crashes of each service by themselves

Crashes of plain services counted among the moments in which a content of a model service was not running, so that kills there could delay a block. Found by reading; no run showed it.

--- a/gateway/src/edge/quarantine_control.rs
+++ b/gateway/src/edge/quarantine_control.rs
@@ -4,7 +4,7 @@
 
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
-use crate::ids::{ContentHash, HostAddress, IncarnationHash};
+use crate::ids::{ContentHash, HostAddress, IncarnationHash, hash_name};
 use crate::membership::QuarantineDigest;
 use crate::quarantine::{QuarantineChange, QuarantineTable, QuarantineVerdict};
 
@@ -54,7 +54,8 @@
         let now = Instant::now();
         let changes = {
             let table = &mut self.state.borrow_mut().quarantine;
-            table.record_crash(endpoint.incarnation_hash(), contents, now)
+            let service = hash_name(&endpoint.service);
+            table.record_crash(endpoint.incarnation_hash(), service, contents, now)
         };
         self.log_quarantine_changes(&changes);
     }
--- a/gateway/src/quarantine/crash_evidence.rs
+++ b/gateway/src/quarantine/crash_evidence.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::crash_record::CrashRecord;
-use crate::ids::{ContentHash, FastMap, FastSet, HostAddress};
+use crate::ids::{ContentHash, FastMap, FastSet, HostAddress, NameHash};
 
 /// Number of moments of crashes that block a content.
 const MIN_MOMENTS: usize = 3;
@@ -43,13 +43,33 @@
     moment: usize,
 }
 
-/// Returns the contents that are to blame for the crashes.
+/// Returns the contents that are to blame for the crashes. Crashes of one service say nothing about
+/// those of another.
 pub(super) fn find_culprits(
     crashes: &[CrashRecord],
     cleared: &FastMap<ContentHash, Instant>,
     recent_begins: &VecDeque<Instant>,
 ) -> CulpritList {
-    let crashes = sort_into_moments(crashes);
+    let mut by_service: FastMap<NameHash, Vec<&CrashRecord>> = FastMap::default();
+    for record in crashes.iter().filter(|record| !record.is_refuted()) {
+        by_service.entry(record.service).or_default().push(record);
+    }
+    let mut list = CulpritList::default();
+    for records in by_service.into_values() {
+        add_culprits(&mut list, records, cleared, recent_begins);
+    }
+    list.culprits.sort_unstable_by_key(|(content, _)| *content);
+    list
+}
+
+/// Adds the contents that are to blame for the crashes of one service.
+fn add_culprits(
+    list: &mut CulpritList,
+    records: Vec<&CrashRecord>,
+    cleared: &FastMap<ContentHash, Instant>,
+    recent_begins: &VecDeque<Instant>,
+) {
+    let crashes = sort_into_moments(records);
     let mut by_content: FastMap<ContentHash, Vec<usize>> = FastMap::default();
     for (index, crash) in crashes.iter().enumerate() {
         for content in &crash.record.contents {
@@ -59,7 +79,6 @@
             }
         }
     }
-    let mut list = CulpritList::default();
     for (content, indices) in &by_content {
         let moments: FastSet<usize> = indices.iter().map(|index| crashes[*index].moment).collect();
         if moments.len() < MIN_MOMENTS || !is_in_most_moments(indices, &crashes) {
@@ -74,16 +93,10 @@
         let evidence = collect_evidence(*content, indices, &crashes, &by_content);
         list.culprits.push((*content, evidence));
     }
-    list.culprits.sort_unstable_by_key(|(content, _)| *content);
-    list
 }
 
 /// Sorts the crashes by time and numbers the moments at which they happened.
-fn sort_into_moments(crashes: &[CrashRecord]) -> Vec<TimedCrash<'_>> {
-    let mut records: Vec<_> = crashes
-        .iter()
-        .filter(|record| !record.is_refuted())
-        .collect();
+fn sort_into_moments(mut records: Vec<&CrashRecord>) -> Vec<TimedCrash<'_>> {
     records.sort_unstable_by_key(|record| (record.at, record.endpoint));
     let mut timed: Vec<TimedCrash> = Vec::with_capacity(records.len());
     let mut moment_start = None;
--- a/gateway/src/quarantine/crash_record.rs
+++ b/gateway/src/quarantine/crash_record.rs
@@ -4,7 +4,7 @@
 
 use super::quarantine_report::CrashReport;
 use crate::gossip::{ReportSchedule, age_ms};
-use crate::ids::{ContentHash, HostAddress, IncarnationHash};
+use crate::ids::{ContentHash, HostAddress, IncarnationHash, NameHash};
 
 /// Maximum number of contents of one crash. A batch has fewer requests before their first event.
 const MAX_CONTENTS: usize = 48;
@@ -17,6 +17,7 @@
 #[derive(Debug)]
 pub(super) struct CrashRecord {
     pub endpoint: IncarnationHash,
+    pub service: NameHash,
     pub at: Instant,
     /// Sorted contents of the requests whose answers the endpoint may have been about to begin.
     pub contents: Vec<ContentHash>,
@@ -30,9 +31,10 @@
 }
 
 impl CrashRecord {
-    pub fn new(endpoint: IncarnationHash, at: Instant) -> Self {
+    pub fn new(endpoint: IncarnationHash, service: NameHash, at: Instant) -> Self {
         Self {
             endpoint,
+            service,
             at,
             contents: Vec::new(),
             seen_by: Vec::new(),
@@ -91,6 +93,7 @@
     pub fn report(&self, now: Instant) -> CrashReport {
         CrashReport {
             endpoint: self.endpoint,
+            service: self.service,
             ago_ms: age_ms(self.at, now),
             contents: self.contents.clone(),
             seen_by: self.seen_by.clone(),
--- a/gateway/src/quarantine/quarantine_report.rs
+++ b/gateway/src/quarantine/quarantine_report.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ContentHash, HostAddress, IncarnationHash};
+use crate::ids::{ContentHash, HostAddress, IncarnationHash, NameHash};
 
 /// Maximum number of reports in one message, which bounds the traffic when many endpoints crash.
 pub(super) const MAX_REPORTS: usize = 24;
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     pub endpoint: IncarnationHash,
+    pub service: NameHash,
     /// Milliseconds since the crash.
     pub ago_ms: u32,
     /// Contents of the requests whose answers the endpoint may have been about to begin.
--- a/gateway/src/quarantine/quarantine_table.rs
+++ b/gateway/src/quarantine/quarantine_table.rs
@@ -9,7 +9,7 @@
     BlockReport, ClearReport, CrashReport, MAX_REPORTS, QuarantineReport,
 };
 use crate::gossip::{ReportSchedule, age_ms, time_ago};
-use crate::ids::{ContentHash, FastMap, HostAddress, IncarnationHash};
+use crate::ids::{ContentHash, FastMap, HostAddress, IncarnationHash, NameHash};
 use crate::rendezvous::host_rank;
 
 /// Time after its last crash for which a content stays blocked, and for which crashes are remembered.
@@ -185,6 +185,7 @@
     pub fn record_crash(
         &mut self,
         endpoint: IncarnationHash,
+        service: NameHash,
         contents: &[ContentHash],
         now: Instant,
     ) -> Vec<QuarantineChange> {
@@ -192,7 +193,7 @@
         if contents.is_empty() {
             return Vec::new();
         }
-        let record = self.crash_at(endpoint, now);
+        let record = self.crash_at(endpoint, service, now);
         if !record.merge(now, contents, &seen_by) {
             return Vec::new();
         }
@@ -209,16 +210,21 @@
 
     /// Returns the record of an endpoint's crash at `at`. An earlier loss of a connection that was
     /// no crash is forgotten.
-    fn crash_at(&mut self, endpoint: IncarnationHash, at: Instant) -> &mut CrashRecord {
+    fn crash_at(
+        &mut self,
+        endpoint: IncarnationHash,
+        service: NameHash,
+        at: Instant,
+    ) -> &mut CrashRecord {
         let mut known = self.crashes.iter();
         let index = known.position(|record| record.endpoint == endpoint);
         let index = index.unwrap_or_else(|| {
-            self.crashes.push(CrashRecord::new(endpoint, at));
+            self.crashes.push(CrashRecord::new(endpoint, service, at));
             self.crashes.len() - 1
         });
         let record = &mut self.crashes[index];
         if record.refuted_at.is_some_and(|refuted_at| at > refuted_at) {
-            *record = CrashRecord::new(endpoint, at);
+            *record = CrashRecord::new(endpoint, service, at);
         }
         record
     }
@@ -338,7 +344,7 @@
         if report.refuted && !is_known {
             return Vec::new();
         }
-        let record = self.crash_at(report.endpoint, at);
+        let record = self.crash_at(report.endpoint, report.service, at);
         let is_new = record.merge(at, &report.contents, &report.seen_by);
         let is_refuted = report.refuted && !record.is_refuted();
         if is_refuted {
--- a/gateway/tests/large_numbers.rs
+++ b/gateway/tests/large_numbers.rs
@@ -55,7 +55,7 @@
 #[test]
 fn traffic_is_split_by_the_largest_weights() {
     let route = route(&[u32::MAX, u32::MAX, u32::MAX]);
-    let picked = |draw: f64| route.pick_target(draw).map(|service| service.to_string());
+    let picked = |draw: f64| route.pick_target(draw).map(ToString::to_string);
     assert_eq!(picked(0.1), Some("s0".to_owned()));
     assert_eq!(picked(0.5), Some("s1".to_owned()));
     assert_eq!(picked(0.9), Some("s2".to_owned()));
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -17,6 +17,7 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const FIRST_PARTS: u64 = 3;
 const DEADLY: ContentHash = 1_000;
+const SERVICE: u32 = 1;
 
 struct Run {
     host: usize,
@@ -170,7 +171,7 @@
         state.down_until = self.now + DOWN_TIME;
         for run in std::mem::take(&mut state.runs) {
             if !run.has_begun {
-                self.hosts[run.host].record_crash(incarnation, &run.contents, now);
+                self.hosts[run.host].record_crash(incarnation, SERVICE, &run.contents, now);
             }
         }
         self.start_endpoint(endpoint);
@@ -182,7 +183,7 @@
         let now = self.instant();
         let state = &mut self.endpoints[endpoint];
         if let Some(run) = state.runs.pop() {
-            self.hosts[run.host].record_crash(state.incarnation, &run.contents, now);
+            self.hosts[run.host].record_crash(state.incarnation, SERVICE, &run.contents, now);
         }
     }
 
