Block a whole request that crashes endpoints when it comes again

Callers saw: a request whose own content crashes endpoints, though nothing in it is shared with others, took down two endpoints each time its caller sent it, for as long as it did. The older rule allows three retries after the third crash.

Cause: as for parts of prompts, nothing was remembered of what an endpoint was about to answer when it crashed; the gateway knew no identity of a request across its caller's attempts.

Change: the hash of workspace, method, path and body is one more content of each request, and goes the same way as the parts of its prompt.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{Request, header};
 use http_util::{BodyError, head_bytes, read_body};
 use hyper::body::Incoming;
@@ -14,6 +16,7 @@
 use super::reply::EdgeFault;
 use super::state::Edge;
 use crate::catalog::{RouteEntry, RoutingTable, WorkspaceEntry};
+use crate::ids::{ContentHash, hash_content};
 use crate::limits::UsageVerdict;
 
 /// Time after the start of the shutdown for which new requests are still accepted. Callers need it
@@ -76,8 +79,7 @@
     if is_too_late(edge) {
         return Err(ForwardError::stopping());
     }
-    let prompt_parts = headers::text(&parts.headers, &names.prompt_parts);
-    let contents = prompt_parts.map_or_else(Vec::new, edge.dialect.parse_shared_parts);
+    let contents = request_contents(edge, &parts, workspace.as_deref(), &body);
     if let Err(retry_after) = edge.check_quarantine(id, &contents) {
         return Err(ForwardError {
             fault: EdgeFault::Quarantined,
@@ -125,6 +127,22 @@
     })
 }
 
+/// Returns the hashes of what may crash endpoints in this and in other requests: the shared parts of
+/// its prompt, and the whole request, which its caller may send again under another id.
+fn request_contents(
+    edge: &Edge,
+    parts: &Parts,
+    workspace: Option<&WorkspaceEntry>,
+    body: &[u8],
+) -> Vec<ContentHash> {
+    let prompt_parts = headers::text(&parts.headers, &edge.dialect.headers.prompt_parts);
+    let mut contents = prompt_parts.map_or_else(Vec::new, edge.dialect.parse_shared_parts);
+    let workspace = workspace.map(|workspace| workspace.name.as_str());
+    let path = parts.uri.path_and_query().map(PathAndQuery::as_str);
+    contents.push(hash_content((workspace, parts.method.as_str(), path, body)));
+    contents
+}
+
 /// Returns whether the shutdown of this host is too far advanced for new requests.
 fn is_too_late(edge: &Edge) -> bool {
     let leaving_since = edge.state.borrow().leaving_since;
