--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -18,12 +18,17 @@
 const FIRST_PARTS: u64 = 3;
 const DEADLY: ContentHash = 1_000;
 const SERVICE: u32 = 1;
+/// Number of times that a request is sent which crashes end: twice by its host, and by its caller
+/// once more.
+const MAX_ATTEMPTS: u8 = 4;
 
 struct Run {
     host: usize,
     contents: Vec<ContentHash>,
     begins: Duration,
     has_begun: bool,
+    /// Number of times that the request was sent, this one included.
+    attempts: u8,
 }
 
 #[derive(Default)]
@@ -67,6 +72,8 @@
     next_incarnation: IncarnationHash,
     crash_times: Vec<Duration>,
     deadly_sends: Vec<(Duration, usize)>,
+    /// Requests that are sent again after a crash, and how often they were sent.
+    retries: Vec<(Vec<ContentHash>, u8)>,
     sound_sent: usize,
     sound_blocked: usize,
     max_digest_bytes: usize,
@@ -88,6 +95,7 @@
             next_incarnation: 1,
             crash_times: Vec::new(),
             deadly_sends: Vec::new(),
+            retries: Vec::new(),
             sound_sent: 0,
             sound_blocked: 0,
             max_digest_bytes: 0,
@@ -137,6 +145,10 @@
 
     /// Sends a request to a random endpoint through a random host.
     fn send_request(&mut self, contents: Vec<ContentHash>) {
+        self.send_again(contents, 1);
+    }
+
+    fn send_again(&mut self, contents: Vec<ContentHash>, attempts: u8) {
         let host = self.random.random_range(0..self.hosts.len());
         let is_deadly = contents.contains(&DEADLY);
         let now = self.instant();
@@ -161,6 +173,7 @@
             contents,
             begins: self.now + Duration::from_millis(delay),
             has_begun: false,
+            attempts,
         });
     }
 
@@ -172,6 +185,9 @@
         for run in std::mem::take(&mut state.runs) {
             if !run.has_begun {
                 self.hosts[run.host].record_crash(incarnation, SERVICE, &run.contents, now);
+                if run.attempts < MAX_ATTEMPTS {
+                    self.retries.push((run.contents, run.attempts + 1));
+                }
             }
         }
         self.start_endpoint(endpoint);
@@ -250,7 +266,8 @@
             self.now += STEP;
             if self.happens(traffic.sound) {
                 let first = self.random.random_range(0..FIRST_PARTS);
-                self.send_request(vec![first]);
+                let whole = self.random.random_range(10_000..u64::MAX);
+                self.send_request(vec![first, whole]);
             }
             if self.happens(traffic.deadly) {
                 let first = self.random.random_range(0..FIRST_PARTS);
@@ -268,6 +285,9 @@
                 self.lose_connection();
             }
             self.advance_runs();
+            for (contents, attempts) in std::mem::take(&mut self.retries) {
+                self.send_again(contents, attempts);
+            }
             if (self.now.as_millis()).is_multiple_of(GOSSIP_INTERVAL.as_millis()) {
                 self.exchange_reports();
             }
