Weigh crashes once a tick, and drop evidence that sound answers contradict

An answer now removes its contents from all earlier crashes, and relays repeat it to hosts that still report them. - A block stayed when its crashes were refuted. It is weighed once a tick, and the contents in one datagram are bounded. - A request that an endpoint did not run returned a trial that was not its own, and returned trials came back from peers. Only a trial returns itself, and peers hear only of its time. - Answers with an error status, and empty ones, counted as sound. - A connection that could not be opened made a crash final, though endpoints reset connections while they live. Only an answer within 1.5 s decides now. - A stream took a retry from the budget before it asked whether it may be sent.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -139,7 +139,8 @@
     let mut contents = prompt_parts.map_or_else(Vec::new, edge.dialect.parse_shared_parts);
     let workspace = workspace.map(|workspace| workspace.name.as_str());
     let path = parts.uri.path_and_query().map(PathAndQuery::as_str);
-    contents.push(hash_content((workspace, parts.method.as_str(), path, body)));
+    let method = parts.method.as_str();
+    contents.push(hash_content((workspace, method, path, prompt_parts, body)));
     contents
 }
 
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -16,6 +16,7 @@
 use super::headers;
 use super::placement::PlacedRun;
 use crate::catalog::EndpointEntry;
+use crate::quarantine::QuarantineVerdict;
 use crate::scheduler::RunEnd;
 
 /// Fraction of the request's time limit after which another endpoint is requested if the first one
@@ -62,12 +63,16 @@
 /// `resume_after` is the id of the last event that the caller has received.
 pub(crate) async fn send_job(
     job: &mut ForwardJob,
-    run: PlacedRun,
+    mut run: PlacedRun,
     resume_after: Option<u64>,
 ) -> Result<EndpointExchange, DispatchFailure> {
-    if job.edge.admit_dispatch(&job.contents).is_err() {
-        run.end(RunEnd::Abandoned);
-        return Err(DispatchFailure::Quarantined);
+    match job.edge.admit_dispatch(&job.contents) {
+        QuarantineVerdict::Permitted => {}
+        QuarantineVerdict::Trial => run.is_trial = true,
+        QuarantineVerdict::Blocked(_) => {
+            run.end(RunEnd::Abandoned);
+            return Err(DispatchFailure::Quarantined);
+        }
     }
     let endpoint = Rc::clone(&run.endpoint);
     job.tried.push(endpoint.id.clone());
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -313,6 +313,9 @@
     if job.dispatches >= MAX_DISPATCHES || Instant::now() >= job.deadline {
         return false;
     }
+    if job.edge.check_quarantine(&job.id, &job.contents).is_err() {
+        return false;
+    }
     let allowed = match failure {
         DispatchFailure::Quarantined => return false,
         DispatchFailure::Unreachable => return true,
@@ -369,6 +372,7 @@
         job.first_byte = Some(job.arrived.elapsed());
         let (parts, body) = exchange.response.into_parts();
         let failed = parts.status.is_server_error();
+        exchange.run.has_succeeded = parts.status.is_success();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -74,6 +74,8 @@
             ended: false,
             events: 0,
             first_event: None,
+            is_trial: false,
+            has_succeeded: false,
         }),
         Ok(Placement::Refused {
             reason,
@@ -97,6 +99,10 @@
     ended: bool,
     events: u32,
     first_event: Option<Instant>,
+    /// Whether the request was sent to tell a blocked content from its companions.
+    pub is_trial: bool,
+    /// Whether the endpoint has answered with success, other than by a stream.
+    pub has_succeeded: bool,
 }
 
 impl PlacedRun {
@@ -127,7 +133,9 @@
     /// Records what the end of the run says about crashes of the endpoint.
     fn record_crash_evidence(&self, end: RunEnd) {
         match end {
-            RunEnd::Completed if self.events <= 1 => self.record_sound_answer(),
+            RunEnd::Completed if self.events == 1 || self.has_succeeded => {
+                self.record_sound_answer();
+            }
             RunEnd::Disconnected => {
                 let (endpoint, contents) = (&self.endpoint, &self.contents);
                 log::info!(
@@ -138,12 +146,13 @@
                     self.edge.record_crash(endpoint, contents);
                 }
             }
-            RunEnd::Unreachable => {
-                self.edge.record_endpoint_unreachable(&self.endpoint);
-                self.edge.return_dispatch(&self.contents);
+            RunEnd::Unreachable | RunEnd::NotRun | RunEnd::Misdirected if self.is_trial => {
+                self.edge.return_trial(&self.contents);
             }
-            RunEnd::NotRun | RunEnd::Misdirected => self.edge.return_dispatch(&self.contents),
             RunEnd::Completed
+            | RunEnd::Unreachable
+            | RunEnd::NotRun
+            | RunEnd::Misdirected
             | RunEnd::Failed
             | RunEnd::Broken
             | RunEnd::Stalled
--- a/gateway/src/edge/quarantine_control.rs
+++ b/gateway/src/edge/quarantine_control.rs
@@ -22,7 +22,7 @@
         let now = Instant::now();
         let table = &self.state.borrow().quarantine;
         match table.check(contents, now) {
-            QuarantineVerdict::Permitted => Ok(()),
+            QuarantineVerdict::Permitted | QuarantineVerdict::Trial => Ok(()),
             QuarantineVerdict::Blocked(content) => {
                 log_blocked_request(table, id, contents, content, now);
                 Err(table.time_left(content, now))
@@ -32,17 +32,14 @@
 
     /// Asks for leave to send a request with these contents now. Every dispatch asks: first tries,
     /// retries and resumed streams.
-    pub(crate) fn admit_dispatch(&self, contents: &[ContentHash]) -> Result<(), ContentHash> {
+    pub(crate) fn admit_dispatch(&self, contents: &[ContentHash]) -> QuarantineVerdict {
         let table = &mut self.state.borrow_mut().quarantine;
-        match table.admit_dispatch(contents, Instant::now()) {
-            QuarantineVerdict::Permitted => Ok(()),
-            QuarantineVerdict::Blocked(content) => Err(content),
-        }
+        table.admit_dispatch(contents, Instant::now())
     }
 
-    /// Records that a request for which leave was given did not reach an endpoint.
-    pub(crate) fn return_dispatch(&self, contents: &[ContentHash]) {
-        self.state.borrow_mut().quarantine.return_leave(contents);
+    /// Records that a trial did not reach an endpoint or was not run there.
+    pub(crate) fn return_trial(&self, contents: &[ContentHash]) {
+        self.state.borrow_mut().quarantine.return_trial(contents);
     }
 
     /// Records that an endpoint closed the connection of a request before its answer went on. An
@@ -68,32 +65,25 @@
         self.log_quarantine_changes(&changes);
     }
 
-    pub(crate) fn record_endpoint_unreachable(&self, endpoint: &EndpointEntry) {
-        let table = &mut self.state.borrow_mut().quarantine;
-        if table.has_crashes() {
-            table.record_unreachable(endpoint.incarnation_hash());
-        }
-    }
-
     /// Records that an endpoint has answered a request that was sent at `asked`.
     pub(crate) fn record_endpoint_alive(&self, endpoint: &EndpointEntry, asked: Instant) {
-        let change = {
+        let changes = {
             let table = &mut self.state.borrow_mut().quarantine;
             if !table.has_crashes() {
                 return;
             }
             table.record_answer(endpoint.incarnation_hash(), asked, Instant::now())
         };
-        self.log_quarantine_changes(change.as_slice());
+        self.log_quarantine_changes(&changes);
     }
 
     /// Performs the periodic work of the quarantine.
     pub(super) fn tick_quarantine(&self, now: Instant) {
-        let is_hub = self.is_hub();
+        let is_relay = self.is_hub() || !self.is_relayed();
         let changes = {
             let state = &mut *self.state.borrow_mut();
             let table = &mut state.quarantine;
-            table.set_hosts(self.settings.host, &state.live_hosts, is_hub);
+            table.set_hosts(self.settings.host, &state.live_hosts, is_relay);
             table.tick(now)
         };
         self.log_quarantine_changes(&changes);
--- a/gateway/src/quarantine/crash_evidence.rs
+++ b/gateway/src/quarantine/crash_evidence.rs
@@ -2,8 +2,8 @@
 //!
 //! A content is to blame if it was among the requests that several endpoints were about to answer
 //! when they crashed, at different moments, if no answer with it has begun since the first of these
-//! crashes while others have, and if most crashes of that time have it in common. Endpoints that end
-//! together, such as those of a rack or zone, are one piece of evidence.
+//! crashes while others have. Few crashes are enough if most of those of that time have it in common.
+//! Endpoints that end together, such as those of a rack or zone, are one piece of evidence.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -12,7 +12,9 @@
 use crate::ids::{ContentHash, FastMap, FastSet, HostAddress, NameHash};
 
 /// Number of moments of crashes that block a content.
-const MIN_MOMENTS: usize = 3;
+pub(super) const MIN_MOMENTS: usize = 3;
+/// Number of crashes that block a content whatever crashes beside it.
+const SUFFICIENT_CRASHES: usize = 5;
 /// Time within which crashes count as one moment.
 const MOMENT_TIME: Duration = Duration::from_millis(250);
 /// Number of answers that must have begun at this host since the first crash. While hardly any do,
@@ -81,7 +83,9 @@
     }
     for (content, indices) in &by_content {
         let moments: FastSet<usize> = indices.iter().map(|index| crashes[*index].moment).collect();
-        if moments.len() < MIN_MOMENTS || !is_in_most_moments(indices, &crashes) {
+        let has_few_crashes = indices.len() < SUFFICIENT_CRASHES;
+        if moments.len() < MIN_MOMENTS || has_few_crashes && !is_in_most_moments(indices, &crashes)
+        {
             continue;
         }
         let first = crashes[indices[0]].record.at;
--- a/gateway/src/quarantine/crash_record.rs
+++ b/gateway/src/quarantine/crash_record.rs
@@ -7,7 +7,7 @@
 use crate::ids::{ContentHash, HostAddress, IncarnationHash, NameHash};
 
 /// Maximum number of contents of one crash. A batch has fewer requests before their first event.
-const MAX_CONTENTS: usize = 48;
+const MAX_CONTENTS: usize = 64;
 /// Maximum number of hosts that are named as witnesses.
 const MAX_WITNESSES: usize = 3;
 /// Time after a lost connection within which an answer shows that the endpoint did not crash. Later,
@@ -25,8 +25,6 @@
     /// When a request was sent that the endpoint has answered since, so that only a connection was
     /// lost.
     pub refuted_at: Option<Instant>,
-    /// Whether the endpoint could not be reached afterwards.
-    confirmed: bool,
     pub schedule: ReportSchedule,
 }
 
@@ -39,7 +37,6 @@
             contents: Vec::new(),
             seen_by: Vec::new(),
             refuted_at: None,
-            confirmed: false,
             schedule: ReportSchedule::default(),
         }
     }
@@ -71,15 +68,13 @@
 
     /// Returns whether an answer to a request sent at `asked` shows that this was no crash.
     pub fn is_refuted_by(&self, asked: Instant) -> bool {
-        !self.is_refuted()
-            && !self.confirmed
-            && asked > self.at
-            && asked.duration_since(self.at) <= REFUTATION_TIME
+        !self.is_refuted() && asked > self.at && asked.duration_since(self.at) <= REFUTATION_TIME
     }
 
-    /// Records that the endpoint could not be reached, so that it is down.
-    pub fn confirm(&mut self) {
-        self.confirmed = true;
+    /// Removes a content; returns whether it was there.
+    pub fn remove(&mut self, content: ContentHash) -> bool {
+        let index = self.contents.binary_search(&content);
+        index.is_ok_and(|index| self.contents.remove(index) == content)
     }
 
     pub fn is_refuted(&self) -> bool {
--- a/gateway/src/quarantine/quarantine_report.rs
+++ b/gateway/src/quarantine/quarantine_report.rs
@@ -7,6 +7,8 @@
 
 /// Maximum number of reports in one message, which bounds the traffic when many endpoints crash.
 pub(super) const MAX_REPORTS: usize = 24;
+/// Maximum number of contents in the crashes of one message.
+pub(super) const MAX_REPORTED_CONTENTS: usize = 128;
 
 /// The crash of one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,9 +37,7 @@
     pub companions: Vec<ContentHash>,
     /// Some hosts that saw the crashes.
     pub seen_by: Vec<HostAddress>,
-    /// Number of requests that were sent to tell the content from its companions.
-    pub trials: u8,
-    /// Milliseconds since the last of them, if there was one.
+    /// Milliseconds since a request was sent to tell the content from its companions.
     pub trial_ago_ms: Option<u32>,
 }
 
--- a/gateway/src/quarantine/quarantine_table.rs
+++ b/gateway/src/quarantine/quarantine_table.rs
@@ -1,12 +1,13 @@
 //! The evidence of crashes, the blocked contents, and which requests may be sent.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use super::crash_evidence::{BEGINS_BESIDE, CrashEvidence, find_culprits};
+use super::crash_evidence::{BEGINS_BESIDE, CrashEvidence, MIN_MOMENTS, find_culprits};
 use super::crash_record::CrashRecord;
 use super::quarantine_report::{
-    BlockReport, ClearReport, CrashReport, MAX_REPORTS, QuarantineReport,
+    BlockReport, ClearReport, CrashReport, MAX_REPORTED_CONTENTS, MAX_REPORTS, QuarantineReport,
 };
 use crate::gossip::{ReportSchedule, age_ms, time_ago};
 use crate::ids::{ContentHash, FastMap, HostAddress, IncarnationHash, NameHash};
@@ -19,14 +20,14 @@
 /// Maximum number of blocked contents.
 const MAX_BLOCKED: usize = 64;
 /// Maximum number of contents of which the last sound answer is remembered.
-const MAX_CLEARED: usize = 2_048;
+const MAX_CLEARED: usize = 4_096;
 /// Time for which the last sound answer of a content is kept when there are too many.
 const MIN_CLEARED_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of contents that are named as companions of a blocked one.
 const MAX_COMPANIONS: usize = 8;
 /// Maximum number of hosts that are named as witnesses of a block.
 const MAX_WITNESSES: usize = 3;
-/// Maximum number of requests that all hosts send to tell a blocked content from its companions.
+/// Maximum number of requests that one host sends to tell a blocked content from its companions.
 const MAX_TRIALS: u8 = 2;
 /// Minimum time between two of them, in which the result of the first reaches all hosts.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
@@ -62,6 +63,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineVerdict {
     Permitted,
+    /// The request may be sent to tell a blocked content from its companions.
+    Trial,
     /// The request holds this blocked content.
     Blocked(ContentHash),
 }
@@ -112,23 +115,23 @@
     /// Returns whether a request with these contents may be sent.
     #[must_use]
     pub fn check(&self, contents: &[ContentHash], now: Instant) -> QuarantineVerdict {
-        if self.blocked.is_empty() {
-            return QuarantineVerdict::Permitted;
+        let mut verdict = QuarantineVerdict::Permitted;
+        for content in contents {
+            let Some(block) = self.blocked.get(content) else {
+                continue;
+            };
+            if !self.may_try(*content, block, contents, now) {
+                return QuarantineVerdict::Blocked(*content);
+            }
+            verdict = QuarantineVerdict::Trial;
         }
-        let blocked = contents.iter().find(|content| {
-            self.blocked
-                .get(content)
-                .is_some_and(|block| !self.may_try(**content, block, contents, now))
-        });
-        blocked.map_or(QuarantineVerdict::Permitted, |content| {
-            QuarantineVerdict::Blocked(*content)
-        })
+        verdict
     }
 
     /// Asks for leave to send a request with these contents now.
     pub fn admit_dispatch(&mut self, contents: &[ContentHash], now: Instant) -> QuarantineVerdict {
         let verdict = self.check(contents, now);
-        if verdict == QuarantineVerdict::Permitted {
+        if verdict == QuarantineVerdict::Trial {
             for content in contents {
                 if let Some(block) = self.blocked.get_mut(content) {
                     block.trials += 1;
@@ -140,8 +143,8 @@
         verdict
     }
 
-    /// Records that a request for which leave was given did not reach an endpoint.
-    pub fn return_leave(&mut self, contents: &[ContentHash]) {
+    /// Records that a trial did not reach an endpoint or was not run there.
+    pub fn return_trial(&mut self, contents: &[ContentHash]) {
         for content in contents {
             if let Some(block) = self.blocked.get_mut(content) {
                 block.trials = block.trials.saturating_sub(1);
@@ -198,14 +201,12 @@
             return Vec::new();
         }
         record.schedule.restart(now);
-        let mut changes = vec![QuarantineChange::Crashed {
+        self.is_pending = true;
+        vec![QuarantineChange::Crashed {
             endpoint,
             contents: contents.to_vec(),
             reported: false,
-        }];
-        self.evict_crashes();
-        changes.extend(self.evaluate(now));
-        changes
+        }]
     }
 
     /// Returns the record of an endpoint's crash at `at`. An earlier loss of a connection that was
@@ -229,27 +230,49 @@
         record
     }
 
-    /// Records that an endpoint could not be reached.
-    pub fn record_unreachable(&mut self, endpoint: IncarnationHash) {
-        if let Some(record) = self.find_crash(endpoint) {
-            record.confirm();
-        }
-    }
-
     /// Records that an endpoint has answered a request that was sent at `asked`.
     pub fn record_answer(
         &mut self,
         endpoint: IncarnationHash,
         asked: Instant,
         now: Instant,
-    ) -> Option<QuarantineChange> {
-        let record = self.find_crash(endpoint)?;
-        if !record.is_refuted_by(asked) {
-            return None;
+    ) -> Vec<QuarantineChange> {
+        match self.find_crash(endpoint) {
+            Some(record) if record.is_refuted_by(asked) => {
+                record.schedule.restart(now);
+                self.refute(endpoint, asked, now)
+            }
+            Some(_) | None => Vec::new(),
         }
-        record.refuted_at = Some(asked);
-        record.schedule.restart(now);
-        Some(QuarantineChange::Refuted(endpoint))
+    }
+
+    /// Marks a crash as refuted, and releases the contents against which too little is left.
+    fn refute(
+        &mut self,
+        endpoint: IncarnationHash,
+        refuted_at: Instant,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        let Some(record) = self.find_crash(endpoint) else {
+            return Vec::new();
+        };
+        record.refuted_at = Some(refuted_at);
+        let contents = record.contents.clone();
+        let mut changes = vec![QuarantineChange::Refuted(endpoint)];
+        for content in contents {
+            let Some(block) = self.blocked.get(&content) else {
+                continue;
+            };
+            let refuted = self.crashes.iter();
+            let refuted = refuted.filter(|crash| crash.is_refuted() && crash.holds(content));
+            if usize::from(block.crashes).saturating_sub(refuted.count()) < MIN_MOMENTS {
+                let last_crash = block.last_crash;
+                self.clear(content, last_crash, now);
+                self.clear_reports.entry(content).or_default().restart(now);
+                changes.extend(self.release_cleared(content));
+            }
+        }
+        changes
     }
 
     fn find_crash(&mut self, endpoint: IncarnationHash) -> Option<&mut CrashRecord> {
@@ -302,13 +325,12 @@
                 block.companions.retain(|companion| *companion != content);
             }
         }
-        let mut crashes = self.crashes.iter();
-        crashes.any(|record| {
-            !record.is_refuted() && is_contradicted(record.at) && record.holds(content)
-        }) || self
-            .blocked
-            .get(&content)
-            .is_some_and(|block| is_contradicted(block.last_crash))
+        let block = self.blocked.get(&content);
+        let mut contradicts = block.is_some_and(|block| is_contradicted(block.last_crash));
+        for record in &mut self.crashes {
+            contradicts |= record.at <= begun && record.remove(content);
+        }
+        contradicts
     }
 
     /// Releases a blocked content if an answer with it has begun since its last crash.
@@ -339,37 +361,48 @@
 
     fn apply_crash(&mut self, report: &CrashReport, now: Instant) -> Vec<QuarantineChange> {
         let at = time_ago(report.ago_ms, now);
-        let is_relay = self.is_relay;
         let is_known = self.find_crash(report.endpoint).is_some();
-        if report.refuted && !is_known {
+        if !is_known && (report.refuted || self.crashes.len() >= 2 * MAX_CRASHES) {
             return Vec::new();
         }
+        let contents = self.uncleared(&report.contents, at);
+        self.repeat_clears(&report.contents, &contents, now);
+        let is_relay = self.is_relay;
         let record = self.crash_at(report.endpoint, report.service, at);
-        let is_new = record.merge(at, &report.contents, &report.seen_by);
+        let is_new = record.merge(at, &contents, &report.seen_by);
         let is_refuted = report.refuted && !record.is_refuted();
-        if is_refuted {
-            record.refuted_at = Some(now);
-        }
         if is_relay && (is_new || is_refuted) {
             record.schedule.restart(now);
         }
         if is_refuted {
-            return vec![QuarantineChange::Refuted(report.endpoint)];
+            return self.refute(report.endpoint, now, now);
         }
-        if !is_new {
+        self.is_pending |= is_new;
+        if is_known || contents.is_empty() {
             return Vec::new();
         }
-        self.evict_crashes();
-        let mut changes = self.evaluate(now);
-        if !is_known {
-            let crashed = QuarantineChange::Crashed {
-                endpoint: report.endpoint,
-                contents: report.contents.clone(),
-                reported: true,
-            };
-            changes.insert(0, crashed);
+        vec![QuarantineChange::Crashed {
+            endpoint: report.endpoint,
+            contents,
+            reported: true,
+        }]
+    }
+
+    /// Reports once more that answers with some of the `reported` contents have begun, to hosts that
+    /// have not heard it.
+    fn repeat_clears(&mut self, reported: &[ContentHash], uncleared: &[ContentHash], now: Instant) {
+        if !self.is_relay {
+            return;
+        }
+        let cleared = reported
+            .iter()
+            .filter(|content| !uncleared.contains(content));
+        for content in cleared {
+            let schedule = self.clear_reports.entry(*content).or_default();
+            if !schedule.is_scheduled() {
+                schedule.restart(now);
+            }
         }
-        changes
     }
 
     fn apply_block(&mut self, report: &BlockReport, now: Instant) -> Option<QuarantineChange> {
@@ -392,10 +425,9 @@
         self.block(report.content, evidence, is_relay, now);
         if let Some(block) = self.blocked.get_mut(&report.content) {
             let trial = report.trial_ago_ms.map(|ago_ms| time_ago(ago_ms, now));
-            if report.trials > block.trials && is_relay {
+            if trial > block.last_trial && is_relay {
                 block.schedule.restart(now);
             }
-            block.trials = block.trials.max(report.trials);
             block.last_trial = block.last_trial.max(trial);
         }
         is_new.then(|| QuarantineChange::Blocked {
@@ -492,7 +524,7 @@
         changes
     }
 
-    /// Forgets what is long past.
+    /// Performs the periodic work: forgets what is long past, and weighs new evidence.
     pub fn tick(&mut self, now: Instant) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
         if self.crashes.is_empty() && self.blocked.is_empty() {
@@ -510,29 +542,32 @@
             }
             is_kept
         });
+        self.evict_crashes();
+        if self.is_pending {
+            changes.extend(self.evaluate(now));
+        }
         changes
     }
 
-    /// Forgets the crashes with the least evidence while there are too many.
+    /// Forgets the crashes with the least evidence if there are too many.
     fn evict_crashes(&mut self) {
-        while self.crashes.len() > MAX_CRASHES {
-            let mut counts: FastMap<ContentHash, usize> = FastMap::default();
-            let sound = self.crashes.iter().filter(|record| !record.is_refuted());
-            for content in sound.flat_map(|record| &record.contents) {
-                *counts.entry(*content).or_default() += 1;
-            }
-            let weight = |record: &CrashRecord| {
-                let counts = record
-                    .contents
-                    .iter()
-                    .filter_map(|content| counts.get(content));
-                let most = counts.max().copied().unwrap_or_default();
-                (!record.is_refuted(), most, record.at)
-            };
-            let weakest = (0..self.crashes.len()).min_by_key(|index| weight(&self.crashes[*index]));
-            let Some(weakest) = weakest else { return };
-            self.crashes.swap_remove(weakest);
-        }
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let mut counts: FastMap<ContentHash, usize> = FastMap::default();
+        let sound = self.crashes.iter().filter(|record| !record.is_refuted());
+        for content in sound.flat_map(|record| &record.contents) {
+            *counts.entry(*content).or_default() += 1;
+        }
+        self.crashes.sort_by_cached_key(|record| {
+            let counts = record
+                .contents
+                .iter()
+                .filter_map(|content| counts.get(content));
+            let most = counts.max().copied().unwrap_or_default();
+            Reverse((!record.is_refuted(), most, record.at))
+        });
+        self.crashes.truncate(MAX_CRASHES);
     }
 
     /// Returns whether any crash is remembered.
@@ -557,7 +592,6 @@
             ago_ms: age_ms(block.last_crash, now),
             companions: block.companions.clone(),
             seen_by: block.seen_by.clone(),
-            trials: block.trials,
             trial_ago_ms: block.last_trial.map(|last| age_ms(last, now)),
         })
     }
@@ -576,14 +610,17 @@
     pub fn all_reports(&self, now: Instant) -> Vec<QuarantineReport> {
         let blocks = self.blocked.keys();
         let blocks = blocks.filter_map(|content| self.block_report(*content, now));
+        let mut blocks: Vec<_> = blocks.collect();
+        blocks.sort_unstable_by_key(|block| (Reverse(block.crashes), block.content));
         let mut crashes: Vec<_> = self
             .crashes
             .iter()
             .filter(|crash| !crash.is_refuted())
             .collect();
-        crashes.sort_unstable_by_key(|crash| std::cmp::Reverse(crash.at));
+        crashes.sort_unstable_by_key(|crash| Reverse(crash.at));
         let crashes = crashes.into_iter().map(|crash| crash.report(now));
         blocks
+            .into_iter()
             .map(QuarantineReport::Block)
             .chain(crashes.map(QuarantineReport::Crash))
             .take(MAX_REPORTS)
@@ -607,8 +644,12 @@
                 reports.push(report);
             }
         }
+        let mut contents_left = MAX_REPORTED_CONTENTS;
         for crash in &mut self.crashes {
-            if crash.schedule.due_since(now).is_some() && reports.len() < MAX_REPORTS {
+            let is_due = crash.schedule.due_since(now).is_some();
+            let fits = crash.contents.len() <= contents_left && reports.len() < MAX_REPORTS;
+            if is_due && fits {
+                contents_left -= crash.contents.len();
                 let age = now.saturating_duration_since(crash.at);
                 crash
                     .schedule
@@ -628,8 +669,9 @@
                 }));
             }
         }
+        let cleared = &self.cleared;
         self.clear_reports
-            .retain(|_, schedule| schedule.is_scheduled());
+            .retain(|content, schedule| schedule.is_scheduled() && cleared.contains_key(content));
         reports
     }
 }
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::ids::{ContentHash, HostAddress, IncarnationHash};
-use gateway::quarantine::{QuarantineReport, QuarantineTable, QuarantineVerdict};
+use gateway::quarantine::{CrashReport, QuarantineReport, QuarantineTable, QuarantineVerdict};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -17,6 +17,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const FIRST_PARTS: u64 = 3;
 const DEADLY: ContentHash = 1_000;
+/// Maximum number of deadly parts, which follow the first one.
+const MAX_DEADLY_PARTS: u64 = 10;
 const SERVICE: u32 = 1;
 /// Number of times that a request is sent which crashes end: twice by its host, and by its caller
 /// once more.
@@ -70,8 +72,11 @@
     has_hubs: bool,
     endpoints: Vec<Endpoint>,
     next_incarnation: IncarnationHash,
-    crash_times: Vec<Duration>,
-    deadly_sends: Vec<(Duration, usize)>,
+    deadly_parts: u64,
+    /// Crashes that deadly parts have caused, with the part.
+    crash_times: Vec<(Duration, ContentHash)>,
+    /// Requests with a deadly part, with the host that sent them.
+    deadly_sends: Vec<(Duration, ContentHash, usize)>,
     /// Requests that are sent again after a crash, and how often they were sent.
     retries: Vec<(Vec<ContentHash>, u8)>,
     sound_sent: usize,
@@ -93,6 +98,7 @@
             has_hubs: hosts > 12,
             endpoints: (0..endpoints).map(|_| Endpoint::default()).collect(),
             next_incarnation: 1,
+            deadly_parts: 1,
             crash_times: Vec::new(),
             deadly_sends: Vec::new(),
             retries: Vec::new(),
@@ -128,7 +134,8 @@
     fn restart_host(&mut self, host: usize) {
         let now = self.instant();
         let mut table = QuarantineTable::default();
-        table.set_hosts(self.addresses[host], &self.addresses, self.is_hub(host));
+        let is_relay = self.is_hub(host) || !self.has_hubs;
+        table.set_hosts(self.addresses[host], &self.addresses, is_relay);
         let peer = usize::from(host == 0);
         if let Some(peer) = self.hosts.get(peer) {
             for report in peer.all_reports(now) {
@@ -150,10 +157,12 @@
 
     fn send_again(&mut self, contents: Vec<ContentHash>, attempts: u8) {
         let host = self.random.random_range(0..self.hosts.len());
-        let is_deadly = contents.contains(&DEADLY);
+        let deadly = deadly_part(&contents);
+        let is_deadly = deadly.is_some();
         let now = self.instant();
         self.sound_sent += usize::from(!is_deadly);
-        if self.hosts[host].admit_dispatch(&contents, now) != QuarantineVerdict::Permitted {
+        let verdict = self.hosts[host].admit_dispatch(&contents, now);
+        if matches!(verdict, QuarantineVerdict::Blocked(_)) {
             self.sound_blocked += usize::from(!is_deadly);
             return;
         }
@@ -164,8 +173,8 @@
             return;
         }
         let endpoint = up[self.random.random_range(0..up.len())];
-        if is_deadly {
-            self.deadly_sends.push((self.now, host));
+        if let Some(part) = deadly {
+            self.deadly_sends.push((self.now, part, host));
         }
         let delay = self.random.random_range(40..300);
         self.endpoints[endpoint].runs.push(Run {
@@ -209,9 +218,9 @@
         for endpoint in 0..self.endpoints.len() {
             let due = |run: &Run| !run.has_begun && run.begins <= self.now;
             let runs = &self.endpoints[endpoint].runs;
-            let is_fatal = |run: &Run| due(run) && run.contents.contains(&DEADLY);
-            if runs.iter().any(is_fatal) {
-                self.crash_times.push(self.now);
+            let mut due_runs = runs.iter().filter(|run| due(run));
+            if let Some(part) = due_runs.find_map(|run| deadly_part(&run.contents)) {
+                self.crash_times.push((self.now, part));
                 self.crash(endpoint);
                 continue;
             }
@@ -272,7 +281,8 @@
             if self.happens(traffic.deadly) {
                 let first = self.random.random_range(0..FIRST_PARTS);
                 let own = self.random.random_range(10_000..u64::MAX);
-                self.send_request(vec![first, DEADLY, own]);
+                let part = DEADLY + self.random.random_range(0..self.deadly_parts);
+                self.send_request(vec![first, part, own]);
             }
             if self.happens(traffic.kills) {
                 let endpoint = self.random.random_range(0..self.endpoints.len());
@@ -294,17 +304,27 @@
         }
     }
 
-    /// Returns the number of requests with the deadly part that were sent later than the contact
-    /// time after the fifth crash.
+    /// Returns the largest number of requests with one deadly part that were sent later than the
+    /// contact time after its fifth crash.
     fn late_deadly_sends(&self) -> usize {
-        let Some(fifth) = self.crash_times.get(4) else {
-            return 0;
-        };
-        let sends = self.deadly_sends.iter();
-        sends.filter(|(at, _)| *at > *fifth + CONTACT_TIME).count()
+        let late_sends = (DEADLY..DEADLY + self.deadly_parts).map(|part| {
+            let mut crashes = self.crash_times.iter().filter(|crash| crash.1 == part);
+            let Some((fifth, _)) = crashes.nth(4) else {
+                return 0;
+            };
+            let sends = self.deadly_sends.iter().filter(|send| send.1 == part);
+            sends.filter(|send| send.0 > *fifth + CONTACT_TIME).count()
+        });
+        late_sends.max().unwrap_or_default()
     }
 }
 
+/// Returns the part that crashes endpoints, if there is one.
+fn deadly_part(contents: &[ContentHash]) -> Option<ContentHash> {
+    let mut contents = contents.iter().copied();
+    contents.find(|content| (DEADLY..DEADLY + MAX_DEADLY_PARTS).contains(content))
+}
+
 fn encoded_size(reports: &[QuarantineReport]) -> usize {
     postcard::to_stdvec(reports).unwrap().len()
 }
@@ -403,7 +423,7 @@
         let sent = fleet.deadly_sends.len();
         fleet.run(traffic, Duration::from_secs(3));
         let after = &fleet.deadly_sends[sent..];
-        assert!(after.iter().all(|(_, host)| *host == 4), "{after:?}");
+        assert!(after.iter().all(|(_, _, host)| *host == 4), "{after:?}");
         let sent = fleet.deadly_sends.len();
         fleet.run(traffic, Duration::from_secs(10));
         assert_eq!(fleet.deadly_sends.len(), sent);
@@ -452,3 +472,154 @@
         assert!(fleet.late_deadly_sends() <= 3);
     }
 }
+
+/// Guards against deadly parts that hide one another, because each is in few of the crashes.
+#[test]
+fn several_deadly_parts_are_blocked() {
+    for parts in [2, 3, 4, 6] {
+        for seed in 0..6 {
+            let mut fleet = Fleet::new(9, 24, seed);
+            fleet.deadly_parts = parts;
+            fleet.run(
+                Traffic {
+                    deadly: 1.5,
+                    ..CALM
+                },
+                Duration::from_secs(30),
+            );
+            let late = fleet.late_deadly_sends();
+            assert!(late <= 3, "{parts} parts, seed {seed}: {late}");
+            assert_eq!(fleet.sound_blocked, 0, "{parts} parts, seed {seed}");
+        }
+    }
+}
+
+/// Guards against a host that starts, hears of crashes, and blocks sound parts because it has not
+/// heard the answers since.
+#[test]
+fn a_host_that_starts_after_other_crashes_blocks_nothing() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(9, 12, seed);
+        fleet.run(Traffic { kills: 0.4, ..CALM }, Duration::from_secs(20));
+        fleet.restart_host(5);
+        fleet.run(Traffic { kills: 0.4, ..CALM }, Duration::from_secs(10));
+        assert_eq!(fleet.sound_blocked, 0, "seed {seed}");
+    }
+}
+
+/// Returns a table of one host that has seen three crashes with a content, and the time of the last.
+fn blocking_table(content: ContentHash) -> (QuarantineTable, Instant) {
+    let start = Instant::now();
+    let mut table = QuarantineTable::default();
+    let own = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    table.set_hosts(own, &[own], true);
+    let mut now = start;
+    for endpoint in 1..=3 {
+        now += Duration::from_millis(300);
+        table.record_crash(endpoint, SERVICE, &[content], now);
+        table.record_sound_answer(&[endpoint], now, now);
+    }
+    (table, now)
+}
+
+/// Guards against a block that stays although the endpoints did not crash.
+#[test]
+fn a_block_ends_when_its_crashes_are_refuted() {
+    const PART: ContentHash = 77;
+    let (mut table, now) = blocking_table(PART);
+    table.tick(now);
+    assert_eq!(table.check(&[PART], now), QuarantineVerdict::Blocked(PART));
+    let asked = now + Duration::from_millis(100);
+    table.record_answer(3, asked, asked);
+    assert_eq!(table.check(&[PART], asked), QuarantineVerdict::Permitted);
+    table.tick(asked);
+    assert_eq!(table.check(&[PART], asked), QuarantineVerdict::Permitted);
+}
+
+/// Guards against old crashes that count again once the sound answers since are forgotten.
+#[test]
+fn sound_answers_end_the_evidence_for_good() {
+    const PART: ContentHash = 77;
+    let (mut table, mut now) = blocking_table(PART);
+    now += Duration::from_millis(10);
+    table.record_sound_answer(&[PART], now, now);
+    for content in 10_000..20_000 {
+        now += Duration::from_millis(10);
+        table.record_sound_answer(&[content], now, now);
+    }
+    table.record_crash(4, SERVICE, &[PART], now);
+    now += Duration::from_secs(1);
+    for content in 1..=5 {
+        table.record_sound_answer(&[content], now, now);
+    }
+    table.tick(now);
+    assert_eq!(table.check(&[PART], now), QuarantineVerdict::Permitted);
+}
+
+/// Guards against requests that are refused without having run and still use up the trials.
+#[test]
+fn trials_that_were_not_run_are_returned() {
+    const PART: ContentHash = 77;
+    const BESIDE: ContentHash = 78;
+    let start = Instant::now();
+    let mut table = QuarantineTable::default();
+    let own = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    table.set_hosts(own, &[own], true);
+    let mut now = start;
+    for endpoint in 1..=3 {
+        now += Duration::from_millis(300);
+        table.record_crash(endpoint, SERVICE, &[PART, BESIDE], now);
+        table.record_sound_answer(&[endpoint], now, now);
+    }
+    table.tick(now);
+    let both = table.check(&[PART, BESIDE], now);
+    assert!(matches!(both, QuarantineVerdict::Blocked(_)));
+    for _ in 0..5 {
+        assert_eq!(
+            table.admit_dispatch(&[BESIDE], now),
+            QuarantineVerdict::Trial
+        );
+        table.return_trial(&[BESIDE]);
+    }
+    for _ in 0..2 {
+        assert_eq!(
+            table.admit_dispatch(&[BESIDE], now),
+            QuarantineVerdict::Trial
+        );
+        let blocked = QuarantineVerdict::Blocked(BESIDE);
+        assert_eq!(table.admit_dispatch(&[BESIDE], now), blocked);
+        now += Duration::from_secs(6);
+    }
+    assert_eq!(
+        table.check(&[BESIDE], now),
+        QuarantineVerdict::Blocked(BESIDE)
+    );
+}
+
+/// Guards against a lost zone whose crashes keep a hub from its other work.
+#[test]
+fn a_lost_zone_costs_little_time() {
+    let mut table = QuarantineTable::default();
+    let own = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    table.set_hosts(own, &[own], true);
+    let now = Instant::now();
+    let started_at = Instant::now();
+    for _ in 0..3 {
+        for endpoint in 0..400 {
+            let report = QuarantineReport::Crash(CrashReport {
+                endpoint,
+                service: SERVICE,
+                ago_ms: 100,
+                contents: (0..16).map(|content| endpoint * 100 + content).collect(),
+                seen_by: vec![own],
+                refuted: false,
+            });
+            table.apply_report(&report, now);
+        }
+        table.tick(now);
+    }
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    let reports = table.take_reports(true, now);
+    assert!(encoded_size(&reports) < 3_000, "{}", encoded_size(&reports));
+}
