--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -77,7 +77,11 @@
     let endpoint = Rc::clone(&run.endpoint);
     job.tried.push(endpoint.id.clone());
     job.dispatches += 1;
-    let Ok(mut connection) = job.edge.pool.acquire(&endpoint).await else {
+    let acquired = match run.connection.take() {
+        Some(connection) => Ok(connection),
+        None => job.edge.pool.acquire(&endpoint).await,
+    };
+    let Ok(mut connection) = acquired else {
         run.end(RunEnd::Unreachable);
         return Err(DispatchFailure::Unreachable);
     };
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -118,7 +118,7 @@
 enum EndpointReply {
     Complete(Response<EdgeBody>),
     /// A stream whose events are relayed as they arrive.
-    Stream(EndpointExchange),
+    Stream(Box<EndpointExchange>),
 }
 
 /// Admits and forwards a caller's request and returns the response to it.
@@ -165,7 +165,7 @@
     let answering = Box::pin(answer_within_deadline(&mut job));
     let outcome = edge.stop_gate.run_until_open(answering).await;
     let error = match outcome {
-        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, exchange),
+        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, *exchange),
         Some(Ok(EndpointReply::Complete(reply))) => {
             log_request_end(&job, reply.status(), "answered");
             return reply;
@@ -197,7 +197,7 @@
         Err(_) => return Err(EdgeFault::TimeoutUnrun.into()),
     };
     if job.route.kind.is_stream() && exchange.response.status().is_success() {
-        return Ok(EndpointReply::Stream(exchange));
+        return Ok(EndpointReply::Stream(Box::new(exchange)));
     }
     let remaining = job.deadline.saturating_duration_since(Instant::now());
     match compio::time::timeout(remaining, read_response(job, exchange)).await {
