--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -16,6 +16,7 @@
 use super::headers;
 use super::placement::PlacedRun;
 use crate::catalog::EndpointEntry;
+use crate::quarantine::QuarantineVerdict;
 use crate::scheduler::RunEnd;
 
 /// Fraction of the request's time limit after which another endpoint is requested if the first one
@@ -39,6 +40,8 @@
     /// The endpoint responded with an error that is not passed on: another endpoint may run the
     /// request, or the status would promise that it was not run.
     Failed,
+    /// The request holds a content that crashes endpoints, and was not sent.
+    Quarantined,
 }
 
 impl DispatchFailure {
@@ -50,6 +53,7 @@
             Self::MayHaveRun => "retry_broken",
             Self::Silent => "retry_silent",
             Self::Failed => "retry_failed",
+            Self::Quarantined => "quarantined_unsent",
         }
     }
 }
@@ -62,6 +66,14 @@
     mut run: PlacedRun,
     resume_after: Option<u64>,
 ) -> Result<EndpointExchange, DispatchFailure> {
+    match job.edge.admit_dispatch(&job.contents) {
+        QuarantineVerdict::Permitted => {}
+        QuarantineVerdict::Trial => run.is_trial = true,
+        QuarantineVerdict::Blocked(_) => {
+            run.end(RunEnd::Abandoned);
+            return Err(DispatchFailure::Quarantined);
+        }
+    }
     let endpoint = Rc::clone(&run.endpoint);
     job.tried.push(endpoint.id.clone());
     job.dispatches += 1;
@@ -129,6 +141,7 @@
         return Err(DispatchFailure::NotRun);
     }
     record_signals(&job.edge, &run.endpoint, status, head, asked);
+    job.edge.record_endpoint_alive(&run.endpoint, asked);
     if head.contains_key(&names.not_run) {
         job.runs -= 1;
         run.end(RunEnd::NotRun);
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -118,7 +118,7 @@
 enum EndpointReply {
     Complete(Response<EdgeBody>),
     /// A stream whose events are relayed as they arrive.
-    Stream(EndpointExchange),
+    Stream(Box<EndpointExchange>),
 }
 
 /// Admits and forwards a caller's request and returns the response to it.
@@ -165,7 +165,7 @@
     let answering = Box::pin(answer_within_deadline(&mut job));
     let outcome = edge.stop_gate.run_until_open(answering).await;
     let error = match outcome {
-        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, exchange),
+        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, *exchange),
         Some(Ok(EndpointReply::Complete(reply))) => {
             log_request_end(&job, reply.status(), "answered");
             return reply;
@@ -197,7 +197,7 @@
         Err(_) => return Err(EdgeFault::TimeoutUnrun.into()),
     };
     if job.route.kind.is_stream() && exchange.response.status().is_success() {
-        return Ok(EndpointReply::Stream(exchange));
+        return Ok(EndpointReply::Stream(Box::new(exchange)));
     }
     let remaining = job.deadline.saturating_duration_since(Instant::now());
     match compio::time::timeout(remaining, read_response(job, exchange)).await {
@@ -245,6 +245,9 @@
                     dispatches = job.dispatches, runs = job.runs;
                     "request: not answered"
                 );
+                if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
+                    return Err(quarantine_error(job, retry_after));
+                }
                 if !may_retry(job, failure) {
                     return Err(exhausted_error(job));
                 }
@@ -258,6 +261,9 @@
     if let Some(run) = job.next_run.take() {
         return Ok(run);
     }
+    if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
+        return Err(quarantine_error(job, retry_after));
+    }
     let (prompt_tokens, _) = job.usage.unwrap_or_default();
     let item = WorkItem {
         ticket: 0,
@@ -307,7 +313,11 @@
     if job.dispatches >= MAX_DISPATCHES || Instant::now() >= job.deadline {
         return false;
     }
+    if job.edge.check_quarantine(&job.id, &job.contents).is_err() {
+        return false;
+    }
     let allowed = match failure {
+        DispatchFailure::Quarantined => return false,
         DispatchFailure::Unreachable => return true,
         DispatchFailure::NotRun => true,
         DispatchFailure::MayHaveRun | DispatchFailure::Silent | DispatchFailure::Failed => {
@@ -329,6 +339,17 @@
     granted
 }
 
+/// Returns the error of a request that holds a blocked content.
+fn quarantine_error(job: &ForwardJob, retry_after: Duration) -> ForwardError {
+    if job.runs > 0 {
+        return EdgeFault::QuarantinedRun.into();
+    }
+    ForwardError {
+        fault: EdgeFault::Quarantined,
+        retry_after: Some(retry_after),
+    }
+}
+
 /// Returns the error of a request that may not be dispatched again.
 fn exhausted_error(job: &ForwardJob) -> ForwardError {
     if job.runs > 0 {
@@ -351,6 +372,7 @@
         job.first_byte = Some(job.arrived.elapsed());
         let (parts, body) = exchange.response.into_parts();
         let failed = parts.status.is_server_error();
+        exchange.run.has_succeeded = parts.status.is_success();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod peer_messages;
 mod placement;
+mod quarantine_control;
 mod reply;
 mod rollout_control;
 mod run;
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -23,6 +23,7 @@
 use crate::membership::{
     FeedPositions, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, RelayPlan, UpdateQueue,
 };
+use crate::quarantine::QuarantineTable;
 use crate::rollouts::RolloutController;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
 
@@ -40,6 +41,7 @@
     pub caps: UsageCaps,
     pub budget: RetryBudget,
     pub rollouts: RolloutController,
+    pub quarantine: QuarantineTable,
     pub members: MemberTable,
     pub feed_positions: FeedPositions,
     /// Hubs and store readers, as derived from the known hosts.
@@ -72,6 +74,8 @@
     pub(super) live_hosts: Vec<HostAddress>,
     /// Whether a complete list of endpoints has been received. Endpoints that appear later are new.
     pub(super) endpoints_listed: bool,
+    /// Whether a peer has reported all that it knows of blocked contents.
+    pub(super) is_introduced: bool,
     /// Time at which the shutdown of this host started.
     pub leaving_since: Option<Instant>,
 }
@@ -88,6 +92,7 @@
     pub(crate) in_flight: InFlightTable,
     pub(crate) stop_gate: StopGate,
     pub(crate) incarnation: Incarnation,
+    pub(super) started: Instant,
     pub(super) random: RefCell<SmallRng>,
 }
 
@@ -112,6 +117,7 @@
             caps: UsageCaps::new(settings.cap_tolerance),
             budget: RetryBudget::new(settings.retry_budget.clone()),
             rollouts: RolloutController::new(settings.rollout_exposure),
+            quarantine: QuarantineTable::default(),
             members,
             feed_positions: FeedPositions::default(),
             relay_plan: RelayPlan::default(),
@@ -131,6 +137,7 @@
             member_view: MemberView::default(),
             live_hosts: Vec::new(),
             endpoints_listed: false,
+            is_introduced: false,
             leaving_since: None,
         };
         Rc::new(Self {
@@ -143,6 +150,7 @@
             in_flight: InFlightTable::default(),
             stop_gate: StopGate::default(),
             incarnation,
+            started: now,
             random: RefCell::new(random),
         })
     }
@@ -175,7 +183,10 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.leaving_since.is_none() && state.catalog.version() > 0 && state.endpoints_listed
+        state.leaving_since.is_none()
+            && state.catalog.version() > 0
+            && state.endpoints_listed
+            && self.is_introduced()
     }
 
     /// Returns the version of the configuration in force, or 0 before the first one.
@@ -269,6 +280,7 @@
             waiting: state.scheduler.waiting_by_tier(),
             feed_ages: state.feed_positions.ages(now),
             signals: state.scheduler.signal_counts(now),
+            contents_blocked: state.quarantine.blocked_count(),
             removals_held: held.len(),
             removal_held_for: held.first().map(|held| now.duration_since(held.since)),
         }
@@ -324,6 +336,7 @@
             });
         }
         self.update_live_hosts(now);
+        self.tick_quarantine(now);
         if has_waiting {
             self.schedule(SchedulerEvent::Tick);
         }
