--- a/gateway/src/edge/quarantine_control.rs
+++ b/gateway/src/edge/quarantine_control.rs
@@ -77,9 +77,15 @@
         self.log_quarantine_changes(&changes);
     }
 
+    /// Returns whether this host passes on and repeats what others report of crashes: hubs do, and
+    /// all hosts of a fleet without hubs.
+    fn relays_crash_reports(&self) -> bool {
+        self.is_hub() || !self.is_relayed()
+    }
+
     /// Performs the periodic work of the quarantine.
     pub(super) fn tick_quarantine(&self, now: Instant) {
-        let is_relay = self.is_hub() || !self.is_relayed();
+        let is_relay = self.relays_crash_reports();
         let changes = {
             let state = &mut *self.state.borrow_mut();
             let table = &mut state.quarantine;
@@ -109,7 +115,7 @@
 
     /// Returns what this host knows of crashes, if anything is due.
     pub(crate) fn next_quarantine_digest(&self) -> Option<QuarantineDigest> {
-        let repeats = self.is_hub() || !self.is_relayed();
+        let repeats = self.relays_crash_reports();
         let table = &mut self.state.borrow_mut().quarantine;
         let reports = table.take_reports(repeats, Instant::now());
         (!reports.is_empty()).then_some(QuarantineDigest {
