--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -16,6 +16,23 @@
 pub const BROKEN: i32 = 1;
 pub const NOT_RUN: i32 = 2;
 
+/// Processes of the project that run now.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Time after which a case is given up.
+const MAX_TIME: Duration = Duration::from_secs(115);
+
+/// Ends the case if it takes too long, with all processes that it started.
+fn watch_time() {
+    thread::spawn(|| {
+        thread::sleep(MAX_TIME);
+        for id in CHILDREN.lock().unwrap().drain(..) {
+            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
+        eprintln!("the case took too long");
+        std::process::exit(NOT_RUN);
+    });
+}
+
 /// Writes `record.txt` of a case, with milliseconds since the start.
 #[derive(Clone)]
 pub struct Record {
@@ -25,6 +42,7 @@
 
 impl Record {
     pub fn create(folder: &str) -> Self {
+        watch_time();
         let path = Path::new(folder).join("record.txt");
         let file = std::fs::File::create(&path).unwrap_or_else(|error| {
             eprintln!("cannot write {}: {error}", path.display());
@@ -410,6 +428,8 @@
     }
 
     pub fn kill(&mut self) {
+        let id = self.id();
+        CHILDREN.lock().unwrap().retain(|child| *child != id);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -438,7 +458,7 @@
         .open(settings.with_extension("log"))
         .expect("the temporary folder is writable");
     let errors = log.try_clone().expect("the file can be shared");
-    Command::new("target/release/wisteriapin-edge")
+    let child = Command::new("target/release/wisteriapin-edge")
         .env("WISTERIAPIN_CONFIG", settings)
         .env("WISTERIAPIN_METRICS_PORT", "9464")
         .stdin(Stdio::null())
@@ -448,7 +468,9 @@
         .unwrap_or_else(|error| {
             eprintln!("cannot start target/release/wisteriapin-edge: {error}");
             std::process::exit(NOT_RUN);
-        })
+        });
+    CHILDREN.lock().unwrap().push(child.id());
+    child
 }
 
 /// Starts `count` hosts and waits until all are ready.
