Rollouts: keep the exposure bound whenever a version turns bad

Cause, two parts: - Times of runs counted only in the phase Testing.

Runs while the share rises also count as slow, at 2.5 times the usual time of their route instead of 1.5, against baselines that stay as they were before the rise. - Early requests are counted when they are sent rather than when they end, and spread over time. - The same cause on a related path: a peer that restarts counts from zero, which removed its evidence from the sums and granted the early requests again. Its earlier counts are kept, at hubs too.

Failed before: versions_that_turn_bad_at_any_moment_stay_within_their_share, versions_that_turn_slow_late_are_rolled_back, counts_of_a_restarted_peer_are_kept. a_new_version_receives_nothing_before_its_status_is_known expects the new test share, 30 in place of 50 thousandths, and states the early requests as dispatched.

--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -8,9 +8,12 @@
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
 use crate::ids::{ContentHash, RouteName, TicketNumber};
-use crate::rollouts::VersionRun;
+use crate::rollouts::{InitialPace, VersionRun};
 use crate::scheduler::{RefusalReason, RunEnd, SchedulerEvent, WorkItem};
 
+/// Number of events after which the initial pace of a stream is measured.
+const INITIAL_EVENTS: u32 = 8;
+
 /// Decision of the scheduler on one request.
 #[derive(Debug)]
 pub(crate) enum Placement {
@@ -63,6 +66,9 @@
     edge.schedule(SchedulerEvent::Submitted(item));
     let placement = decision.await;
     guard.armed = false;
+    if let Ok(Placement::Placed(endpoint)) = &placement {
+        edge.record_version_dispatch(endpoint);
+    }
     match placement {
         Ok(Placement::Placed(endpoint)) => Ok(PlacedRun {
             edge: Rc::clone(edge),
@@ -122,12 +128,35 @@
             self.record_first_byte();
         }
         let has_gone_on = self.events <= 1 && self.events + events > 1;
+        let has_begun = self.events < INITIAL_EVENTS && self.events + events >= INITIAL_EVENTS;
         self.events += events;
+        if has_begun {
+            self.record_initial_pace();
+        }
         if has_gone_on {
             self.record_sound_answer();
         }
     }
 
+    /// Records the pace of the answer so far.
+    fn record_initial_pace(&self) {
+        let took_ms = self.placed_at.elapsed().as_secs_f64() * 1_000.0;
+        self.edge.record_initial_pace(&InitialPace {
+            service: self.endpoint.service.clone(),
+            version: self.endpoint.version.clone(),
+            pace_ms: took_ms / self.units().max(1.0),
+        });
+    }
+
+    /// Returns the size of the work so far, in events for a stream, otherwise the expected size.
+    fn units(&self) -> f64 {
+        if self.events > 0 {
+            f64::from(self.events)
+        } else {
+            self.expected_events
+        }
+    }
+
     /// Records that the endpoint has begun the answer without crashing.
     fn record_sound_answer(&self) {
         let begun = self.first_event.unwrap_or(self.placed_at);
@@ -184,11 +213,6 @@
                 return None;
             }
         };
-        let units = if self.events > 0 {
-            f64::from(self.events)
-        } else {
-            self.expected_events
-        };
         Some(VersionRun {
             service: self.endpoint.service.clone(),
             version: self.endpoint.version.clone(),
@@ -197,7 +221,7 @@
             failed,
             unfinished: end == RunEnd::Abandoned,
             took: self.placed_at.elapsed(),
-            units,
+            units: self.units(),
         })
     }
 
@@ -205,6 +229,9 @@
     fn report_end(&mut self, end: RunEnd) {
         self.ended = true;
         self.record_crash_evidence(end);
+        if end == RunEnd::Completed && self.events < INITIAL_EVENTS {
+            self.record_initial_pace();
+        }
         if let Some(run) = self.version_run(end) {
             self.edge.record_run(&run);
         }
--- a/gateway/src/edge/rollout_control.rs
+++ b/gateway/src/edge/rollout_control.rs
@@ -6,8 +6,9 @@
 use rollout_judge::FULL_SHARE_PERMILLE;
 
 use super::state::Edge;
+use crate::catalog::EndpointEntry;
 use crate::ids::ServiceName;
-use crate::rollouts::{RolloutStatus, StatusKind, VersionRun};
+use crate::rollouts::{InitialPace, RolloutStatus, StatusKind, VersionRun};
 use crate::scheduler::SchedulerEvent;
 
 /// Number of hosts that write the statuses of rollouts to the store. Another host takes over when
@@ -41,6 +42,18 @@
         }
     }
 
+    /// Records a request that this host sends to an endpoint.
+    pub(crate) fn record_version_dispatch(&self, endpoint: &EndpointEntry) {
+        let rollouts = &mut self.state.borrow_mut().rollouts;
+        rollouts.record_dispatch(&endpoint.service, &endpoint.version);
+    }
+
+    /// Records how fast an endpoint began an answer.
+    pub(crate) fn record_initial_pace(&self, pace: &InitialPace) {
+        let rollouts = &mut self.state.borrow_mut().rollouts;
+        rollouts.record_initial_pace(pace, Instant::now());
+    }
+
     /// Records a run of this host for the rollouts.
     pub(crate) fn record_run(&self, run: &VersionRun) {
         self.state.borrow_mut().rollouts.record_run(run);
--- a/gateway/src/membership/hubs.rs
+++ b/gateway/src/membership/hubs.rs
@@ -91,6 +91,8 @@
     zone: ZoneName,
     loads: Vec<EndpointReport>,
     rollouts: Vec<RolloutReport>,
+    /// Last reports of the host's earlier incarnations.
+    ended_rollouts: Vec<RolloutReport>,
     last_counts: FastMap<NameHash, UsageCount>,
     usage: FastMap<NameHash, UsageCount>,
     followed_hub: Option<HostAddress>,
@@ -165,6 +167,7 @@
                 zone: heartbeat.sender.zone.clone(),
                 loads: Vec::new(),
                 rollouts: Vec::new(),
+                ended_rollouts: Vec::new(),
                 last_counts: heartbeat
                     .usage
                     .iter()
@@ -177,6 +180,9 @@
         if tally.incarnation != heartbeat.sender.incarnation {
             tally.incarnation = heartbeat.sender.incarnation;
             tally.last_counts.clear();
+            let ended = tally.rollouts.drain(..).map(RolloutReport::ended);
+            let ended: Vec<_> = ended.chain(tally.ended_rollouts.drain(..)).collect();
+            tally.ended_rollouts = merge_reports(ended.iter());
         } else if now.duration_since(tally.last_heartbeat) > HUB_TIMEOUT {
             // Other hubs have reported its usage of this time. If no hub heard it, its usage is
             // covered by the share that is left to silent hosts.
@@ -309,7 +315,7 @@
         let others = self
             .cell_hosts(cell)
             .filter(|tally| own.is_none_or(|own| !std::ptr::eq::<HostTally>(own, *tally)));
-        let reports = others.flat_map(|tally| &tally.rollouts);
+        let reports = others.flat_map(|tally| tally.rollouts.iter().chain(&tally.ended_rollouts));
         HubSums {
             loads: loads.collect(),
             usage: usage.collect(),
--- a/gateway/src/rollouts/controller.rs
+++ b/gateway/src/rollouts/controller.rs
@@ -7,10 +7,10 @@
     RateCount, RolloutSettings, RolloutSide, RouteTable, RunFinding, RunObservation,
 };
 
-use super::counts::{RolloutReport, RunTime, SideCounts};
+use super::counts::{PaceDecay, RolloutReport, RunTime, SideCounts};
 use super::endpoint_speed::is_slower_at_all_quantiles;
 use super::plan::{self, ExposureBound, RolloutPhase};
-use super::run::VersionRun;
+use super::run::{InitialPace, VersionRun};
 use crate::ids::{FastMap, HostAddress, ServiceName, VersionName, hash_name};
 
 /// Minimum number of good runs, across all hosts, before a version is promoted. A version that
@@ -24,6 +24,13 @@
 /// it is a tenth of the default in [`RolloutSettings`]. The counts of all hosts together are tested
 /// separately.
 const FALSE_ALARM_PROBABILITY: f64 = 0.0001;
+/// A run of the new version is slow while the share rises if its time exceeds the old version's
+/// usual time by this factor. Load shifts between the versions in these seconds, so a smaller factor
+/// would find good versions slow.
+const SLOW_FACTOR_WHILE_RISING: f64 = 2.5;
+/// Half-life of recent paces, as a fraction of the time limit: a fraction of the time for which the
+/// version receives all requests before it is completed.
+const RECENT_FRACTION: f64 = 0.015;
 
 /// State of a rollout as operators see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +74,11 @@
     routes: RouteTable,
     old_failures: RateCount,
     own_counts: SideCounts,
+    old_recent: PaceDecay,
+    new_recent: PaceDecay,
     peer_counts: FastMap<HostAddress, SideCounts>,
+    /// Counts of peers that have restarted since, or that have begun to count anew.
+    ended_counts: SideCounts,
     /// Share that was last returned to the scheduler.
     last_share: Option<VersionShare>,
 }
@@ -77,8 +88,18 @@
         now.saturating_duration_since(self.started)
     }
 
-    fn counts(&self) -> SideCounts {
+    /// Returns the counts of this host.
+    fn own_counts(&self, now: Instant) -> SideCounts {
         let mut counts = self.own_counts;
+        counts.old.recent = self.old_recent.sums(now);
+        counts.new.recent = self.new_recent.sums(now);
+        counts
+    }
+
+    /// Returns the counts of all hosts.
+    fn counts(&self, now: Instant) -> SideCounts {
+        let mut counts = self.own_counts(now);
+        counts.add(&self.ended_counts);
         for peer_counts in self.peer_counts.values() {
             counts.add(peer_counts);
         }
@@ -109,7 +130,8 @@
     /// the host that records statuses promotes one.
     fn advance(&mut self, is_recorder: bool, settings: &RolloutSettings, now: Instant) {
         let elapsed = self.elapsed(now);
-        if self.counts().is_bad() {
+        let counts = self.counts(now);
+        if counts.is_bad() {
             self.roll_back("it is worse than the old version over all hosts".into());
         }
         let is_open = matches!(self.phase, RolloutPhase::Testing | RolloutPhase::Promoting);
@@ -117,7 +139,7 @@
             self.roll_back("it was not completed in time".into());
         }
         let is_tested =
-            self.counts().new_good_runs() >= MIN_GOOD_RUNS && !self.routes.is_doubtful(settings);
+            counts.new_good_runs() >= MIN_GOOD_RUNS && !self.routes.is_doubtful(settings);
         if is_recorder
             && self.phase == RolloutPhase::Testing
             && plan::may_promote(elapsed, self.time_limit)
@@ -136,6 +158,8 @@
 #[derive(Debug)]
 pub struct RolloutController {
     settings: RolloutSettings,
+    /// The same settings with `SLOW_FACTOR_WHILE_RISING`.
+    rise_settings: RolloutSettings,
     exposure_bound: ExposureBound,
     rollouts: FastMap<ServiceName, ServiceRollout>,
     last_advanced: Option<Instant>,
@@ -147,11 +171,16 @@
 impl RolloutController {
     #[must_use]
     pub fn new(exposure_bound: ExposureBound) -> Self {
+        let settings = RolloutSettings {
+            false_alarm: FALSE_ALARM_PROBABILITY,
+            ..RolloutSettings::default()
+        };
         Self {
-            settings: RolloutSettings {
-                false_alarm: FALSE_ALARM_PROBABILITY,
-                ..RolloutSettings::default()
+            rise_settings: RolloutSettings {
+                slow_factor: SLOW_FACTOR_WHILE_RISING,
+                ..settings.clone()
             },
+            settings,
             exposure_bound,
             rollouts: FastMap::default(),
             last_advanced: None,
@@ -179,6 +208,7 @@
         if existing.is_some_and(|existing| existing.order >= order) {
             return;
         }
+        let half_life = time_limit.mul_f64(RECENT_FRACTION);
         let rollout = ServiceRollout {
             order,
             target,
@@ -190,7 +220,10 @@
             routes: RouteTable::default(),
             old_failures: RateCount::default(),
             own_counts: SideCounts::default(),
+            old_recent: PaceDecay::new(half_life, now),
+            new_recent: PaceDecay::new(half_life, now),
             peer_counts: FastMap::default(),
+            ended_counts: SideCounts::default(),
             last_share: None,
         };
         self.rollouts.insert(service, rollout);
@@ -268,6 +301,37 @@
         }
     }
 
+    /// Records a request that this host sends to a version.
+    pub fn record_dispatch(&mut self, service: &ServiceName, version: &VersionName) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            let counts = &mut rollout.own_counts;
+            let side = if *version == rollout.target {
+                &mut counts.new
+            } else {
+                &mut counts.old
+            };
+            side.dispatched = side.dispatched.saturating_add(1);
+        }
+    }
+
+    /// Records the pace at which an endpoint began an answer.
+    pub fn record_initial_pace(&mut self, pace: &InitialPace, now: Instant) {
+        let Some(rollout) = self.rollouts.get_mut(&pace.service) else {
+            return;
+        };
+        if pace.version == rollout.target {
+            rollout.own_counts.new.initial.record(pace.pace_ms);
+            rollout.new_recent.record(pace.pace_ms, now);
+            return;
+        }
+        rollout.old_recent.record(pace.pace_ms, now);
+        // While the share rises, the old version has less and less load, so its paces are no
+        // baseline for a version with all of it.
+        if rollout.phase <= RolloutPhase::Testing {
+            rollout.own_counts.old.initial.record(pace.pace_ms);
+        }
+    }
+
     /// Records a run that this host dispatched.
     pub fn record_run(&mut self, run: &VersionRun) {
         let Some(rollout) = self.rollouts.get_mut(&run.service) else {
@@ -278,6 +342,12 @@
         } else {
             RolloutSide::Old
         };
+        let is_rising = rollout.phase > RolloutPhase::Testing;
+        let settings = if is_rising {
+            &self.rise_settings
+        } else {
+            &self.settings
+        };
         let pace_ms = run.pace_ms();
         let observation = RunObservation {
             side,
@@ -290,36 +360,39 @@
         let entry = rollout.routes.entry(&run.route);
         // An abandoned run would have taken at least this long. If that is below the usual time,
         // it doesn't show whether the run was slow.
-        let seems_slow = entry.is_slow(&observation, &self.settings)
+        let seems_slow = entry.is_slow(&observation, settings)
             || rollout.own_counts.old.is_slower_than_mean(pace_ms);
         if run.unfinished && !seems_slow {
             return;
         }
         let has_baseline = entry.is_measured(&observation);
         if side == RolloutSide::Old {
-            let poor = entry.observe_old(&observation, &self.settings);
             rollout.old_failures.add(run.failed);
+            if is_rising {
+                // The baselines stay as they were with the old version under full load.
+                entry.observe_old_failure(run.failed);
+                rollout.own_counts.old.record(run.failed, None);
+                return;
+            }
+            let poor = entry.observe_old(&observation, settings);
             let time = RunTime {
                 slow: has_baseline.then_some(poor),
-                pace_ms,
+                pace_ms: Some(pace_ms),
             };
             rollout.own_counts.old.record(run.failed, Some(time));
             return;
         }
-        // While the share rises, load shifts from the old endpoints to the new ones, so their times
-        // differ regardless of the version.
-        let compares_times = rollout.phase == RolloutPhase::Testing;
+        // The tests of single hosts expect the same load on both versions.
+        let compares_times = !is_rising;
         let failures = rollout.old_failures;
-        let finding = entry.observe_new(&observation, failures, compares_times, &self.settings);
-        let poor = !matches!(finding, RunFinding::Good);
+        let is_slow = entry.is_slow(&observation, settings);
+        let finding = entry.observe_new(&observation, failures, compares_times, settings);
+        let poor = is_slow || !matches!(finding, RunFinding::Good);
         let time = RunTime {
             slow: has_baseline.then_some(poor),
-            pace_ms,
+            pace_ms: compares_times.then_some(pace_ms),
         };
-        rollout
-            .own_counts
-            .new
-            .record(run.failed, compares_times.then_some(time));
+        rollout.own_counts.new.record(run.failed, Some(time));
         if let RunFinding::Bad(reason) = finding {
             rollout.roll_back(format_compact!("route {}: {reason}", run.route));
         }
@@ -338,7 +411,14 @@
                 .iter()
                 .find(|report| report.service == hash && report.order == rollout.order);
             let Some(report) = report else { continue };
-            rollout.peer_counts.insert(peer, report.counts);
+            let previous = rollout.peer_counts.insert(peer, report.counts);
+            // The sums of a hub also fall when one of its hosts is silent, and rise again later.
+            let is_host = !peer.is_unspecified();
+            if let Some(previous) = previous.filter(|previous| report.counts.is_before(previous))
+                && is_host
+            {
+                rollout.ended_counts.add_ended(&previous);
+            }
             let elapsed = Duration::from_millis(report.elapsed_ms.into());
             if let Some(started) = now.checked_sub(elapsed) {
                 rollout.started = rollout.started.min(started);
@@ -374,7 +454,7 @@
                 order: rollout.order,
                 phase: rollout.phase,
                 elapsed_ms: u32::try_from(rollout.elapsed(now).as_millis()).unwrap_or(u32::MAX),
-                counts: rollout.own_counts,
+                counts: rollout.own_counts(now),
             });
         reports.collect()
     }
@@ -395,10 +475,10 @@
         for (service, rollout) in &mut self.rollouts {
             rollout.advance(is_recorder, &self.settings, now);
             let elapsed = rollout.elapsed(now);
-            let new_runs = rollout.counts().new.runs;
+            let dispatches = rollout.counts(now).dispatches();
             let (phase, time_limit) = (rollout.phase, rollout.time_limit);
             let permille =
-                plan::share_permille(phase, elapsed, time_limit, &self.exposure_bound, new_runs);
+                plan::share_permille(phase, elapsed, time_limit, &self.exposure_bound, dispatches);
             let share = VersionShare {
                 service: service.clone(),
                 version: rollout.target.clone(),
--- a/gateway/src/rollouts/counts.rs
+++ b/gateway/src/rollouts/counts.rs
@@ -1,8 +1,10 @@
 //! Run counts of a rollout that hosts report to each other.
 
+use std::time::{Duration, Instant};
+
 use serde::{Deserialize, Serialize};
 
-use super::plan::RolloutPhase;
+use super::plan::{DispatchCounts, RolloutPhase};
 use crate::ids::NameHash;
 
 /// Number of standard errors by which the bad runs must exceed those expected at the old version's
@@ -19,6 +21,10 @@
 /// Minimum number of runs for comparing the mean paces of the versions.
 const MIN_OLD_RUNS: u32 = 20;
 const MIN_NEW_RUNS: u32 = 5;
+/// Minimum weight of the recent paces of a version, in runs, for comparing them.
+const MIN_RECENT_RUNS: f64 = 8.0;
+/// Unit of the weight of recent paces in reports, in parts of a run.
+const RECENT_SCALE: f64 = 100.0;
 /// Range that paces are clamped to.
 const MIN_PACE_MS: f64 = 0.01;
 const MAX_PACE_MS: f64 = 1e6;
@@ -26,6 +32,8 @@
 /// Run counts of one version. Slowness is relative to the old version on the same route.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunCounts {
+    /// Requests that were sent to the version.
+    pub dispatched: u32,
     pub runs: u32,
     pub failed: u32,
     /// Successful runs that could be compared with the usual time of their route; `slow` counts
@@ -33,6 +41,113 @@
     pub timed: u32,
     pub slow: u32,
     pub paces: PaceSums,
+    /// Initial paces: those of the first events of a stream, or of the whole run if it has fewer.
+    pub initial: PaceSums,
+    /// The same for the last seconds.
+    pub recent: RecentPaces,
+}
+
+/// Sums over the logarithms of recent paces at the time of a report. Older paces weigh less.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentPaces {
+    /// Weight of all paces, in hundredths of a run.
+    weight: u32,
+    /// Weighted sums of the logarithms, in thousandths, and of their squares.
+    sum: i64,
+    squares: u64,
+}
+
+impl RecentPaces {
+    fn add(&mut self, other: &Self) {
+        self.weight = self.weight.saturating_add(other.weight);
+        self.sum = self.sum.saturating_add(other.sum);
+        self.squares = self.squares.saturating_add(other.squares);
+    }
+
+    fn runs(&self) -> f64 {
+        f64::from(self.weight) / RECENT_SCALE
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "thousandths of a logarithm")]
+    fn mean(&self) -> f64 {
+        self.sum as f64 / f64::from(self.weight.max(1))
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "thousandths of a logarithm")]
+    fn variance(&self) -> f64 {
+        let mean = self.mean();
+        (self.squares as f64 / f64::from(self.weight.max(1)) - mean * mean).max(0.0)
+    }
+
+    /// Returns whether these paces are several times slower than those of the old version, beyond
+    /// chance. `old` are its paces before the share rose, `old_recent` those of the same seconds,
+    /// which count as long as there are enough of them: both versions may be slow for a while.
+    fn is_slower_than(&self, old: &PaceSums, old_recent: &Self) -> bool {
+        if old.runs < MIN_OLD_RUNS || self.runs() < MIN_RECENT_RUNS {
+            return false;
+        }
+        let mut baseline = old.mean();
+        if old_recent.runs() >= MIN_RECENT_RUNS {
+            baseline = baseline.max(old_recent.mean());
+        }
+        let slowdown = self.mean() - baseline;
+        let variance = self.variance().max(old.variance()).max(1.0);
+        let error = (variance / f64::from(old.runs) + variance / self.runs()).sqrt();
+        slowdown >= MIN_SLOWDOWN_FACTOR.ln() * 1_000.0 && slowdown >= EXCESS_STANDARD_ERRORS * error
+    }
+}
+
+/// Recent paces of one version on one host, with weights that halve in a fixed time.
+#[derive(Debug)]
+pub(super) struct PaceDecay {
+    half_life: Duration,
+    weight: f64,
+    sum: f64,
+    squares: f64,
+    updated: Instant,
+}
+
+impl PaceDecay {
+    pub fn new(half_life: Duration, now: Instant) -> Self {
+        Self {
+            half_life,
+            weight: 0.0,
+            sum: 0.0,
+            squares: 0.0,
+            updated: now,
+        }
+    }
+
+    pub fn record(&mut self, pace_ms: f64, now: Instant) {
+        let factor = self.decay_factor(now);
+        #[expect(clippy::cast_precision_loss, reason = "a logarithm is small")]
+        let log = log_thousandths(pace_ms) as f64;
+        self.weight = self.weight * factor + 1.0;
+        self.sum = self.sum * factor + log;
+        self.squares = self.squares * factor + log * log;
+        self.updated = now;
+    }
+
+    /// Returns the sums at a time, for a report.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "sums over the runs of a few seconds"
+    )]
+    pub fn sums(&self, now: Instant) -> RecentPaces {
+        let scale = self.decay_factor(now) * RECENT_SCALE;
+        RecentPaces {
+            weight: (self.weight * scale) as u32,
+            sum: (self.sum * scale) as i64,
+            squares: (self.squares * scale) as u64,
+        }
+    }
+
+    fn decay_factor(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let half_lives = elapsed / self.half_life.as_secs_f64().max(f64::MIN_POSITIVE);
+        (-half_lives).exp2()
+    }
 }
 
 /// Sums over the logarithms of paces, in thousandths. Requests are split between the versions at
@@ -46,7 +161,7 @@
 
 impl PaceSums {
     /// Records the pace of one run: its time for one unit of work.
-    fn record(&mut self, pace_ms: f64) {
+    pub(super) fn record(&mut self, pace_ms: f64) {
         let log = log_thousandths(pace_ms);
         self.runs += 1;
         self.sum += log;
@@ -86,8 +201,8 @@
 pub(super) struct RunTime {
     /// Whether the run was slow for its route; `None` if the route's usual time is unknown.
     pub slow: Option<bool>,
-    /// Time for one unit of work.
-    pub pace_ms: f64,
+    /// Time for one unit of work; `None` if it must not be compared.
+    pub pace_ms: Option<f64>,
 }
 
 fn log_thousandths(pace_ms: f64) -> i64 {
@@ -106,7 +221,9 @@
         };
         self.timed += u32::from(time.slow.is_some());
         self.slow += u32::from(time.slow.unwrap_or(false));
-        self.paces.record(time.pace_ms);
+        if let Some(pace_ms) = time.pace_ms {
+            self.paces.record(pace_ms);
+        }
     }
 
     /// Returns whether a pace is slower than the mean of these runs.
@@ -117,11 +234,14 @@
     }
 
     fn add(&mut self, other: &Self) {
+        self.dispatched = self.dispatched.saturating_add(other.dispatched);
         self.runs = self.runs.saturating_add(other.runs);
         self.failed = self.failed.saturating_add(other.failed);
         self.timed = self.timed.saturating_add(other.timed);
         self.slow = self.slow.saturating_add(other.slow);
         self.paces.add(&other.paces);
+        self.initial.add(&other.initial);
+        self.recent.add(&other.recent);
     }
 }
 
@@ -146,6 +266,31 @@
         is_rate_higher(old.runs, old.failed, new.runs, new.failed)
             || is_rate_higher(old.timed, old.slow, new.timed, new.slow)
             || new.paces.is_slower_than(&old.paces)
+            || new.recent.is_slower_than(&old.initial, &old.recent)
+    }
+
+    pub(super) fn dispatches(&self) -> DispatchCounts {
+        DispatchCounts {
+            old: self.old.dispatched,
+            new: self.new.dispatched,
+        }
+    }
+
+    fn clear_recent(&mut self) {
+        self.old.recent = RecentPaces::default();
+        self.new.recent = RecentPaces::default();
+    }
+
+    /// Adds the last counts of a host that has begun to count anew.
+    pub(super) fn add_ended(&mut self, ended: &Self) {
+        let mut ended = *ended;
+        ended.clear_recent();
+        self.add(&ended);
+    }
+
+    /// Returns whether a host that reported `earlier` has begun to count anew.
+    pub(super) fn is_before(&self, earlier: &Self) -> bool {
+        self.old.dispatched < earlier.old.dispatched || self.new.dispatched < earlier.new.dispatched
     }
 
     pub(super) fn new_good_runs(&self) -> u32 {
@@ -177,6 +322,15 @@
     pub counts: SideCounts,
 }
 
+impl RolloutReport {
+    /// Returns this report without what was recent in it, for when its host has restarted.
+    #[must_use]
+    pub fn ended(mut self) -> Self {
+        self.counts.clear_recent();
+        self
+    }
+}
+
 /// Merges the reports of many hosts into one for each service, which covers its newest order.
 pub fn merge_reports<'a>(reports: impl Iterator<Item = &'a RolloutReport>) -> Vec<RolloutReport> {
     let mut merged: Vec<RolloutReport> = Vec::new();
--- a/gateway/src/rollouts/run.rs
+++ b/gateway/src/rollouts/run.rs
@@ -28,3 +28,12 @@
         self.took.as_secs_f64() * 1_000.0 / self.units.max(1.0)
     }
 }
+
+/// Pace at which an endpoint began an answer, which is known long before a stream ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InitialPace {
+    pub service: ServiceName,
+    pub version: VersionName,
+    /// Time for one unit of work.
+    pub pace_ms: f64,
+}
--- a/gateway/tests/rollouts.rs
+++ b/gateway/tests/rollouts.rs
@@ -10,8 +10,8 @@
 use common::host;
 use compact_str::CompactString;
 use gateway::rollouts::{
-    ExposureBound, RolloutController, RolloutPhase, RolloutReport, RunCounts, SideCounts,
-    StatusKind, VersionRun,
+    ExposureBound, InitialPace, RolloutController, RolloutPhase, RolloutReport, RunCounts,
+    SideCounts, StatusKind, VersionRun,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -30,13 +30,21 @@
 const SERVICE: &str = "pool";
 const ORDER: u64 = 7;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum VersionBehaviour {
     Good,
     FailsAtOnce,
     FailsLater,
     Slow,
     FailsOnOneRoute,
+    /// Turns several times slower after a part of its time, in all runs.
+    TurnsSlow(f64),
+    /// Turns several times slower, on one route.
+    TurnsSlowOnOneRoute(f64),
+    /// Begins to fail in a part of its runs.
+    TurnsFailing,
+    /// Good, while both versions are slow for a tenth of the time limit.
+    GoodWhileAllAreSlow,
 }
 
 #[derive(Debug)]
@@ -47,6 +55,8 @@
     time_limit: Duration,
     /// Range of the time limit, in tenths, in which the first host is suspended.
     suspended_tenths: (u32, u32),
+    /// Hundredth of the time limit at which a version turns bad.
+    turns_at: u32,
     seed: u64,
 }
 
@@ -63,6 +73,7 @@
             requests_per_s: source.int_in_range(10..=400_u32)?,
             time_limit: Duration::from_secs(source.int_in_range(20..=90_u64)?),
             suspended_tenths: (from, from + source.int_in_range(0..=5_u32)?),
+            turns_at: source.int_in_range(5..=99_u32)?,
             seed: source.arbitrary()?,
         })
     }
@@ -74,6 +85,64 @@
     permille: u16,
 }
 
+/// Outcome of one simulated request.
+struct SimulatedRun {
+    side: RolloutSide,
+    is_bad: bool,
+}
+
+impl SimulatedHost {
+    /// Sends one request to either version and reports the run to the controller.
+    fn send_request(
+        &mut self,
+        scenario: &RolloutScenario,
+        elapsed_fraction: f64,
+        random: &mut SmallRng,
+        now: Instant,
+    ) -> SimulatedRun {
+        let side = self.count.side(self.permille);
+        self.count.record_dispatch(side, self.permille);
+        let route = random.random_range(0..4);
+        // Run times vary by a factor of about two.
+        let spread = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
+        let (version, endpoint, failed, slowdown) = match side {
+            RolloutSide::Old => {
+                let slowdown = slowdown_of_all(scenario, elapsed_fraction);
+                ("v1", "o", random.random_bool(0.01), slowdown)
+            }
+            RolloutSide::New => {
+                let (failed, slowdown) = draw_fault(scenario, route, elapsed_fraction, random);
+                ("v2", "n", failed, slowdown)
+            }
+        };
+        let took = Duration::from_secs_f64(0.3 * (0.4 * spread).exp() * slowdown);
+        self.controller
+            .record_dispatch(&SERVICE.into(), &version.into());
+        if !failed {
+            let pace = InitialPace {
+                service: SERVICE.into(),
+                version: version.into(),
+                pace_ms: took.as_secs_f64() * 1_000.0,
+            };
+            self.controller.record_initial_pace(&pace, now);
+        }
+        self.controller.record_run(&VersionRun {
+            service: SERVICE.into(),
+            version: version.into(),
+            endpoint: endpoint.into(),
+            route: ["a", "b", "c", "d"][route].into(),
+            failed,
+            unfinished: false,
+            took,
+            units: 1.0,
+        });
+        SimulatedRun {
+            side,
+            is_bad: failed || slowdown > 1.0,
+        }
+    }
+}
+
 /// Status of the service in the store, and the number of times that it was written.
 #[derive(Default)]
 struct SimulatedStore {
@@ -100,15 +169,34 @@
     random: &mut SmallRng,
 ) -> (bool, f64) {
     let fails = random.random_bool(0.4);
+    let has_turned = elapsed_fraction * 100.0 >= f64::from(scenario.turns_at);
+    let turned_factor = |factor| if has_turned { factor } else { 1.0 };
     match scenario.behaviour {
         VersionBehaviour::FailsAtOnce => (fails, 1.0),
         VersionBehaviour::FailsLater => (elapsed_fraction > 0.3 && fails, 1.0),
         VersionBehaviour::FailsOnOneRoute => (route == 0 && random.random_bool(0.6), 1.0),
         VersionBehaviour::Slow => (false, 4.0),
+        VersionBehaviour::TurnsSlow(factor) => (false, turned_factor(factor)),
+        VersionBehaviour::TurnsSlowOnOneRoute(factor) if route == 0 => {
+            (false, turned_factor(factor))
+        }
+        VersionBehaviour::TurnsSlowOnOneRoute(_) => (false, 1.0),
+        VersionBehaviour::TurnsFailing => (has_turned && fails, 1.0),
         VersionBehaviour::Good => (random.random_bool(0.01), 1.0),
+        VersionBehaviour::GoodWhileAllAreSlow => {
+            (false, slowdown_of_all(scenario, elapsed_fraction))
+        }
     }
 }
 
+/// Returns the factor by which both versions are slower at a time.
+fn slowdown_of_all(scenario: &RolloutScenario, elapsed_fraction: f64) -> f64 {
+    let from = f64::from(scenario.turns_at) / 100.0;
+    let is_slow = scenario.behaviour == VersionBehaviour::GoodWhileAllAreSlow
+        && (from..from + 0.1).contains(&elapsed_fraction);
+    if is_slow { 2.0 } else { 1.0 }
+}
+
 fn run_scenario(scenario: &RolloutScenario) -> ScenarioResult {
     let start = Instant::now();
     let mut random = SmallRng::seed_from_u64(scenario.seed);
@@ -155,19 +243,11 @@
                 continue;
             }
             let sim_host = &mut hosts[index];
-            let side = sim_host.count.side(sim_host.permille);
-            sim_host.count.record_dispatch(side, sim_host.permille);
-            let route = random.random_range(0..4);
-            // Run times vary by a factor of about two.
-            let spread = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
-            let (failed, slowdown) = match side {
-                RolloutSide::Old => (random.random_bool(0.01), 1.0),
-                RolloutSide::New => draw_fault(scenario, route, elapsed_fraction, &mut random),
-            };
+            let run = sim_host.send_request(scenario, elapsed_fraction, &mut random, now);
             result.all_requests += 1;
-            if side == RolloutSide::New {
+            if run.side == RolloutSide::New {
                 result.new_requests += 1;
-                result.bad_answers += u32::from(failed || slowdown > 1.0);
+                result.bad_answers += u32::from(run.is_bad);
                 let since_fiftieth =
                     fiftieth_bad_at.map_or(Duration::ZERO, |at| elapsed.saturating_sub(at));
                 result.overrun = result.overrun.max(since_fiftieth);
@@ -175,16 +255,6 @@
                     fiftieth_bad_at = fiftieth_bad_at.or(Some(elapsed));
                 }
             }
-            sim_host.controller.record_run(&VersionRun {
-                service: SERVICE.into(),
-                version: if side == RolloutSide::New { "v2" } else { "v1" }.into(),
-                endpoint: if side == RolloutSide::New { "n" } else { "o" }.into(),
-                route: ["a", "b", "c", "d"][route].into(),
-                failed,
-                unfinished: false,
-                took: Duration::from_secs_f64(0.3 * (0.4 * spread).exp() * slowdown),
-                units: 1.0,
-            });
         }
         let all_reports: Vec<_> = hosts
             .iter()
@@ -261,11 +331,92 @@
     });
 }
 
+/// Guards against versions that receive more than their share of the requests because they turn bad
+/// after their share has begun to rise, or so late that nothing is compared any more.
+#[test]
+fn versions_that_turn_bad_at_any_moment_stay_within_their_share() {
+    let behaviours = [
+        VersionBehaviour::TurnsSlow(3.0),
+        VersionBehaviour::TurnsSlow(5.0),
+        VersionBehaviour::TurnsSlowOnOneRoute(5.0),
+        VersionBehaviour::TurnsFailing,
+    ];
+    check_seeds(40, |source| {
+        let mut scenario = RolloutScenario::draw(source, &behaviours)?;
+        // Nothing can be rolled back once the order is completed.
+        scenario.turns_at = scenario.turns_at.min(96);
+        let result = run_scenario(&scenario);
+        let max_requests = BOUND.share * f64::from(result.all_requests) + BOUND.tolerance;
+        assert!(
+            f64::from(result.new_requests) <= max_requests,
+            "{scenario:?}: {result:?}"
+        );
+        assert!(
+            result.overrun <= MAX_ROLLBACK_TIME,
+            "{scenario:?}: {result:?}"
+        );
+        Ok(())
+    });
+}
+
+/// Guards against completing a version that becomes several times slower late, before or while its
+/// share rises.
+#[test]
+fn versions_that_turn_slow_late_are_rolled_back() {
+    let behaviours = [
+        VersionBehaviour::TurnsSlow(3.0),
+        VersionBehaviour::TurnsSlow(5.0),
+    ];
+    check_seeds(40, |source| {
+        let mut scenario = RolloutScenario::draw(source, &behaviours)?;
+        scenario.turns_at = scenario.turns_at.min(92);
+        scenario.requests_per_s = scenario.requests_per_s.max(50);
+        let result = run_scenario(&scenario);
+        assert_eq!(
+            result.status,
+            Some(StatusKind::RolledBack),
+            "{scenario:?}: {result:?}"
+        );
+        Ok(())
+    });
+}
+
+/// Guards against a restarted peer whose earlier counts are forgotten, so that the version receives
+/// its early requests once more and evidence against it is lost.
+#[test]
+fn counts_of_a_restarted_peer_are_kept() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(30);
+    let mut controller = controller_at(None, now);
+    let report = |dispatched| RolloutReport {
+        service: gateway::ids::hash_name(SERVICE),
+        order: ORDER,
+        phase: RolloutPhase::Testing,
+        elapsed_ms: 30_000,
+        counts: SideCounts {
+            new: RunCounts {
+                dispatched,
+                runs: dispatched,
+                ..RunCounts::default()
+            },
+            ..SideCounts::default()
+        },
+    };
+    for dispatched in [45, 0] {
+        controller.apply_peer_reports(host(1), &[report(dispatched)], later);
+    }
+    assert_eq!(permille(&mut controller, later), Some(30));
+}
+
 /// Guards against good versions that are rolled back, or not completed within their time limit.
 #[test]
 fn good_versions_are_completed_in_time() {
+    let behaviours = [
+        VersionBehaviour::Good,
+        VersionBehaviour::GoodWhileAllAreSlow,
+    ];
     check_seeds(60, |source| {
-        let scenario = RolloutScenario::draw(source, &[VersionBehaviour::Good])?;
+        let scenario = RolloutScenario::draw(source, &behaviours)?;
         let result = run_scenario(&scenario);
         assert_eq!(
             result.status,
@@ -314,14 +465,14 @@
         elapsed_ms: 30_000,
         counts: SideCounts {
             new: RunCounts {
-                runs: 25,
+                dispatched: 45,
                 ..RunCounts::default()
             },
             ..SideCounts::default()
         },
     };
     in_progress.apply_peer_reports(host(1), &[report], later);
-    assert_eq!(permille(&mut in_progress, later), Some(50));
+    assert_eq!(permille(&mut in_progress, later), Some(30));
     let mut rolled_back = controller_at(Some(StatusKind::RolledBack), now);
     assert_eq!(permille(&mut rolled_back, later), Some(0));
     let mut completed = controller_at(Some(StatusKind::Completed), now);
--- a/rollout-judge/src/route.rs
+++ b/rollout-judge/src/route.rs
@@ -174,6 +174,11 @@
         was_slow
     }
 
+    /// Adds one run of the old version whose time must not be compared.
+    pub fn observe_old_failure(&mut self, failed: bool) {
+        self.low.old_failures.add(failed);
+    }
+
     fn band(&self, run: &RunObservation) -> &BandTests {
         if run.high_load { &self.high } else { &self.low }
     }
