Rollouts: compare slow runs with the old version's slowest endpoints only

Cause: a run is slow relative to the old version's slowest endpoint, but the old version's rate of slow runs was taken over all of its endpoints. It was too low for a version that runs only on hardware like the slowest.

Change: only runs on the slowest endpoint count towards that rate.

--- a/gateway/src/rollouts/controller.rs
+++ b/gateway/src/rollouts/controller.rs
@@ -375,8 +375,11 @@
                 return;
             }
             let poor = entry.observe_old(&observation, settings);
+            // Slow runs are relative to the slowest endpoint, so the others would make the old
+            // version's rate too low for a new version that runs on hardware like that endpoint's.
+            let is_comparable = has_baseline && entry.is_slowest(&observation);
             let time = RunTime {
-                slow: has_baseline.then_some(poor),
+                slow: is_comparable.then_some(poor),
                 pace_ms: Some(pace_ms),
             };
             rollout.own_counts.old.record(run.failed, Some(time));
--- a/gateway/tests/rollouts.rs
+++ b/gateway/tests/rollouts.rs
@@ -45,6 +45,8 @@
     TurnsFailing,
     /// Good, while both versions are slow for a tenth of the time limit.
     GoodWhileAllAreSlow,
+    /// Good, on the slowest of the three kinds of hardware that the old version runs on.
+    GoodOnSlowHardware,
 }
 
 #[derive(Debug)]
@@ -107,8 +109,11 @@
         let spread = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
         let (version, endpoint, failed, slowdown) = match side {
             RolloutSide::Old => {
-                let slowdown = slowdown_of_all(scenario, elapsed_fraction);
-                ("v1", "o", random.random_bool(0.01), slowdown)
+                let (endpoint, slowdown) = match scenario.behaviour {
+                    VersionBehaviour::GoodOnSlowHardware => HARDWARE[random.random_range(0..3)],
+                    _ => ("o", slowdown_of_all(scenario, elapsed_fraction)),
+                };
+                ("v1", endpoint, random.random_bool(0.01), slowdown)
             }
             RolloutSide::New => {
                 let (failed, slowdown) = draw_fault(scenario, route, elapsed_fraction, random);
@@ -186,9 +191,13 @@
         VersionBehaviour::GoodWhileAllAreSlow => {
             (false, slowdown_of_all(scenario, elapsed_fraction))
         }
+        VersionBehaviour::GoodOnSlowHardware => (false, HARDWARE[HARDWARE.len() - 1].1),
     }
 }
 
+/// Names of the old version's endpoints and the factors by which their hardware is slower.
+const HARDWARE: [(&str, f64); 3] = [("o", 1.0), ("o2", 1.4), ("o3", 2.0)];
+
 /// Returns the factor by which both versions are slower at a time.
 fn slowdown_of_all(scenario: &RolloutScenario, elapsed_fraction: f64) -> f64 {
     let from = f64::from(scenario.turns_at) / 100.0;
@@ -428,6 +437,22 @@
     });
 }
 
+/// Guards against good versions that are rolled back because they run on the slowest of several
+/// kinds of hardware.
+#[test]
+fn good_versions_on_slow_hardware_are_completed() {
+    check_seeds(40, |source| {
+        let scenario = RolloutScenario::draw(source, &[VersionBehaviour::GoodOnSlowHardware])?;
+        let result = run_scenario(&scenario);
+        assert_eq!(
+            result.status,
+            Some(StatusKind::Completed),
+            "{scenario:?}: {result:?}"
+        );
+        Ok(())
+    });
+}
+
 fn controller_with_order(time_limit: Duration, now: Instant) -> RolloutController {
     let mut controller = RolloutController::new(BOUND);
     controller.apply_order(SERVICE.into(), "v2".into(), time_limit, ORDER, now);
--- a/rollout-judge/src/route.rs
+++ b/rollout-judge/src/route.rs
@@ -189,6 +189,15 @@
         self.band(run).slowest_median().is_some()
     }
 
+    /// Returns whether the old version is slowest on this endpoint, among those measured.
+    #[must_use]
+    pub fn is_slowest(&self, run: &RunObservation) -> bool {
+        let band = self.band(run);
+        let times = band.old_times.get(&run.endpoint);
+        let median = times.and_then(|times| times.window.median);
+        median.is_some() && median == band.slowest_median()
+    }
+
     /// Returns whether a run is slow compared with the old version. Returns `false` while too few
     /// runs of the old version have been observed.
     #[must_use]
