Retry budget: hold over processes that start, stop and join

Cause: each process counted its own retries of the last window only. One that had just started took its share of the slack and a full ratio again, although its predecessor had spent them in the same window. Hosts that are leaving were no longer counted, so the others divided the slack among fewer, while the leaving ones had used their shares and went on retrying.

The slack is divided by all hosts heard within the window, including leaving ones; a host that may be cut off counts those it has never heard, too.

--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -115,7 +115,7 @@
             catalog: CatalogState::default(),
             scheduler: SchedulerState::new(SchedulerSettings::default(), incarnation),
             caps: UsageCaps::new(settings.cap_tolerance),
-            budget: RetryBudget::new(settings.retry_budget.clone()),
+            budget: RetryBudget::new(settings.retry_budget.clone(), now),
             rollouts: RolloutController::new(settings.rollout_exposure),
             quarantine: QuarantineTable::default(),
             members,
@@ -304,13 +304,16 @@
                 );
             state.removals.set_confirmed(is_confirmed);
             let due = state.removals.take_due(now);
-            let view = state.members.view(positions.is_store_reachable(), now);
+            let is_store_reachable = positions.is_store_reachable();
+            let window = self.settings.retry_budget.window;
+            let budget_hosts = state.members.budget_hosts(is_store_reachable, window, now);
+            state.budget.set_host_count(budget_hosts);
+            let view = state.members.view(is_store_reachable, now);
             let view_changed = view != state.member_view;
             if view_changed {
                 let hosts = view.counted.len();
                 log::info!(hosts = hosts, silent = view.silent; "hosts: view changed");
                 state.caps.set_unreachable_hosts(hosts, view.silent, now);
-                state.budget.set_host_count(hosts);
                 state.member_view = view;
             }
             (due, view_changed, state.scheduler.has_waiting())
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -371,19 +371,10 @@
     /// reach the store and more than half of the other hosts.
     #[must_use]
     pub fn view(&self, is_store_reachable: bool, now: Instant) -> MemberView {
-        let candidates: Vec<_> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.last_heard.is_some() && !member.report.leaving)
-            .collect();
-        let reachable = candidates
-            .iter()
-            .filter(|(_, member)| is_reachable(member, now))
-            .count();
-        let is_on_larger_side = is_store_reachable && reachable * 2 > candidates.len();
+        let is_on_larger_side = is_store_reachable && self.reaches_most_hosts(now);
         let mut counted = vec![self.own];
         let mut silent = 0;
-        for (host, member) in candidates {
+        for (host, member) in self.staying_members() {
             let is_gone = member
                 .last_heard
                 .is_none_or(|heard| now.duration_since(heard) > GONE_TIMEOUT);
@@ -396,6 +387,34 @@
         counted.sort_unstable();
         MemberView { counted, silent }
     }
+
+    /// Returns the number of hosts over which a budget of retries within `window` is shared.
+    ///
+    /// Unlike in `view`, hosts that are stopping, or that stopped within the window, count: they
+    /// have used their share in it. While this host may be cut off, so do hosts that it has never
+    /// heard.
+    #[must_use]
+    pub fn budget_hosts(&self, is_store_reachable: bool, window: Duration, now: Instant) -> usize {
+        let timeout = GONE_TIMEOUT.max(window);
+        let is_on_larger_side = is_store_reachable && self.reaches_most_hosts(now);
+        let members = self.members.values();
+        let sharing =
+            members.filter(|member| !is_on_larger_side || is_heard_within(member, timeout, now));
+        sharing.count() + 1
+    }
+
+    /// Returns the hosts that were heard and are not about to stop.
+    fn staying_members(&self) -> impl Iterator<Item = (&HostAddress, &MemberEntry)> {
+        let members = self.members.iter();
+        members.filter(|(_, member)| member.last_heard.is_some() && !member.report.leaving)
+    }
+
+    fn reaches_most_hosts(&self, now: Instant) -> bool {
+        let reachable = self
+            .staying_members()
+            .filter(|(_, member)| is_reachable(member, now));
+        reachable.count() * 2 > self.staying_members().count()
+    }
 }
 
 /// Returns whether a host was heard, or added without being heard, within `STARTUP_TIMEOUT`.
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -41,6 +41,32 @@
     assert!(serving(&table, now + Duration::from_millis(2_100)).is_empty());
 }
 
+/// Guards against hosts that take over the retries of hosts that are stopping, that have just
+/// stopped, or that are on the other side of a partition.
+#[test]
+fn retries_are_shared_with_hosts_that_have_used_their_part() {
+    let now = Instant::now();
+    let window = Duration::from_secs(10);
+    let mut table = MemberTable::new(host(1));
+    table.add_host(host(9), now);
+    assert_eq!(table.budget_hosts(true, window, now), 2);
+    for number in 2..=4 {
+        table.apply_heartbeat(&heartbeat(number, 1, 1), now);
+    }
+    let mut leaving = heartbeat(5, 1, 1);
+    leaving.sender.leaving = true;
+    table.apply_heartbeat(&leaving, now);
+    assert_eq!(table.budget_hosts(true, window, now), 5);
+    let later = now + Duration::from_secs(14);
+    for number in 2..=4 {
+        table.apply_heartbeat(&heartbeat(number, 1, 2), later);
+    }
+    assert_eq!(table.budget_hosts(true, window, later), 5);
+    let after = now + Duration::from_secs(16);
+    assert_eq!(table.budget_hosts(true, window, after), 4);
+    assert_eq!(table.budget_hosts(false, window, after), 6);
+}
+
 /// Guards against a delayed datagram that overwrites a newer one.
 #[test]
 fn stale_heartbeats_are_discarded() {
