Refusals after an empty retry budget name the end of a pause

Callers saw: a refusal (2308) with Retry-After 0.5 s from a service whose only endpoint had asked for a pause of 5 s, if the host had no retry left to ask for another endpoint.

Cause: only placing a request looked at pauses, and without a retry it isn't placed again. An empty budget of an older host leads there, too.

Change: if all endpoints of the service pause, the refusal is 2309 with the end of the first pause.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -355,6 +355,14 @@
     if job.runs > 0 {
         return EdgeFault::EndpointBroken.into();
     }
+    let now = Instant::now();
+    let scheduler = &mut job.edge.state.borrow_mut().scheduler;
+    if let Some(pause_end) = scheduler.pause_end(&job.service, now) {
+        return ForwardError {
+            fault: EdgeFault::EndpointsRestricted,
+            retry_after: Some(pause_end.saturating_duration_since(now)),
+        };
+    }
     ForwardError {
         fault: EdgeFault::EndpointsRefused,
         retry_after: Some(REFUSED_RETRY_AFTER),
--- a/gateway/src/scheduler/endpoint_signals.rs
+++ b/gateway/src/scheduler/endpoint_signals.rs
@@ -4,9 +4,9 @@
 
 use super::state::SchedulerState;
 use super::types::SchedulerEffect;
-use crate::backpressure::{EndpointSignal, SenderView, SignalCounts, SignalReport};
+use crate::backpressure::{EndpointSignal, SendPermission, SenderView, SignalCounts, SignalReport};
 use crate::catalog::EndpointEntry;
-use crate::ids::FastSet;
+use crate::ids::{FastSet, ServiceName};
 
 impl SchedulerState {
     /// Applies what an endpoint said of itself in its answer to a request that was sent at `asked`.
@@ -67,6 +67,29 @@
         self.signals.counts(now)
     }
 
+    /// Returns when the first endpoint of a service takes requests again, or `None` if any of them
+    /// doesn't pause.
+    pub fn pause_end(&mut self, service: &ServiceName, now: Instant) -> Option<Instant> {
+        let mut first_end: Option<Instant> = None;
+        let loads = self.loads.iter().filter(|load| {
+            let entry = &load.entry;
+            entry.service == *service && !entry.draining
+        });
+        for load in loads {
+            match self.signals.permission(load.incarnation, now) {
+                SendPermission::Paused(until) => {
+                    first_end = Some(first_end.map_or(until, |end| end.min(until)));
+                }
+                SendPermission::Leaving => {}
+                SendPermission::Granted
+                | SendPermission::Probe
+                | SendPermission::Limited(_)
+                | SendPermission::NoShare => return None,
+            }
+        }
+        first_end
+    }
+
     pub(super) fn update_sender_view(&mut self) {
         let Some(own_host) = self.own_host else {
             return;
