Retry budget: a reserve at once when the whole system starts for the first time

Cause: a process assumed that others had spent the budget before it, also at the first start of the system, when there is no such process.

The tests' hosts get the setting as the platform writes it: true at the first start and false at a restart.

--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -33,6 +33,8 @@
     /// Time between the signal to stop and the kill of the process.
     pub grace_period: Duration,
     pub retry_budget: RetryBudgetSettings,
+    /// Whether the whole system starts for the first time, so that no process ran before this one.
+    pub is_first_start: bool,
     pub cap_tolerance: CapTolerance,
     pub rollout_exposure: ExposureBound,
     /// Maximum number of open connections of callers.
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -115,7 +115,10 @@
             catalog: CatalogState::default(),
             scheduler: SchedulerState::new(SchedulerSettings::default(), incarnation),
             caps: UsageCaps::new(settings.cap_tolerance),
-            budget: RetryBudget::new(settings.retry_budget.clone(), now),
+            budget: RetryBudget::new(
+                settings.retry_budget.clone(),
+                (!settings.is_first_start).then_some(now),
+            ),
             rollouts: RolloutController::new(settings.rollout_exposure),
             quarantine: QuarantineTable::default(),
             members,
--- a/gateway/src/limits/retry_budget.rs
+++ b/gateway/src/limits/retry_budget.rs
@@ -8,8 +8,8 @@
 //! - The rest of the ratio, and this host's share of the slack, form a reserve. Over every span of
 //!   up to one window, a host sends no more retries than the reserve and the immediate parts of the
 //!   requests of that span.
-//! - A process has no reserve until it has run for one window. Until then it sends only what the
-//!   immediate parts of its own requests pay for.
+//! - A process has no reserve until it has run for one window, unless the whole system starts for
+//!   the first time. Until then it sends only what the immediate parts of its own requests pay for.
 //!
 //! A span that begins in one process and ends in its successors thus holds one reserve, and
 //! immediate parts of requests of that span, which together are within the budget.
@@ -78,15 +78,17 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
-    started: Instant,
+    /// Start of this process, if another one may have sent retries before it.
+    started: Option<Instant>,
     hosts: usize,
     counts: FastMap<ServiceName, ServiceCount>,
 }
 
 impl RetryBudget {
-    /// `started` is when this process started.
+    /// `started` is when this process started, or `None` if the whole system starts for the first
+    /// time, so that no process has sent retries before.
     #[must_use]
-    pub fn new(settings: RetryBudgetSettings, started: Instant) -> Self {
+    pub fn new(settings: RetryBudgetSettings, started: Option<Instant>) -> Self {
         Self {
             settings,
             started,
@@ -117,7 +119,9 @@
         let service_count = self.counts.entry(service.clone()).or_default();
         Self::drop_expired(&self.settings, service_count, now);
         let immediate_ratio = self.settings.ratio * USABLE_SHARE * IMMEDIATE_PART;
-        let has_reserve = now.saturating_duration_since(self.started) > self.settings.window;
+        let has_reserve = self
+            .started
+            .is_none_or(|started| now.saturating_duration_since(started) > self.settings.window);
         let granted = if has_reserve {
             let saved_ratio = self.settings.ratio * USABLE_SHARE * (1.0 - IMMEDIATE_PART);
             let slack = self.settings.slack * USABLE_SHARE / count(self.hosts);
--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -339,7 +339,7 @@
     };
     let mut retries = 0;
     for _ in 0..9 {
-        let mut budget = RetryBudget::new(settings.clone(), start);
+        let mut budget = RetryBudget::new(settings.clone(), Some(start));
         budget.set_host_count(9);
         for request in 0..100 {
             // The hosts have run for longer than a window.
@@ -389,7 +389,7 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let service = "pool".into();
-    let new_budget = |ms| RetryBudget::new(RETRY_BUDGET, at(ms));
+    let new_budget = |ms| RetryBudget::new(RETRY_BUDGET, (ms > 0).then(|| at(ms)));
     let mut budgets: Vec<_> = (0..changes.hosts).map(|_| new_budget(0)).collect();
     let mut steps = Vec::new();
     for ms in (0..DAY_MS).step_by(usize::try_from(STEP_MS).expect("small")) {
