Duties: one host reports usage and orders endpoints

Cause: nothing sent the platform's usage reports or orders of endpoints.

Change: gateway/src/duties decides without a network who holds the duties (a lease in the store's log under conditional appends, with a fencing token that never goes back), what is reported (counts are recorded before they are sent) and how many endpoints are ordered. The platform's calls, headers and fields are in platform/. On only where the settings name duties; the design is in docs/design/duties.md.

--- a/gateway/src/catalog/routing.rs
+++ b/gateway/src/catalog/routing.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use crate::duties::ScalingBounds;
 use crate::ids::{FastMap, RouteName, ServiceName, TierNumber, WorkspaceName};
 
 /// Whether a request may be repeated, and how its response is passed on.
@@ -87,6 +88,8 @@
     pub model_engine: bool,
     /// Tokens per event of a stream, if configured.
     pub tokens_per_event: Option<u32>,
+    /// How many endpoints may be ordered; `None` if they are not ordered by this system.
+    pub scaling: Option<ScalingBounds>,
 }
 
 /// Tokens per event of a stream if not configured.
--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -122,6 +122,7 @@
         dispatches: 0,
         waited: Duration::ZERO,
         first_byte: None,
+        is_counted: false,
         next_run: None,
         in_flight,
     })
--- a/gateway/src/edge/catalog_changes.rs
+++ b/gateway/src/edge/catalog_changes.rs
@@ -4,7 +4,7 @@
 
 use super::state::Edge;
 use crate::catalog::{CatalogChange, ConfigurationSnapshot, EndpointEntry};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, hash_name};
 use crate::membership::{ContactSpan, FeedTopic};
 use crate::scheduler::SchedulerEvent;
 
@@ -88,6 +88,10 @@
             log::info!(before = before, version = version; "config: in force");
             let routing = state.catalog.routing();
             state.caps.apply_workspaces(routing.workspaces(), now);
+            if let Some(duties) = &mut state.duties {
+                let names = routing.workspaces().map(|workspace| &workspace.name);
+                duties.add_workspaces(names.map(|name| (hash_name(name), name)));
+            }
             for workspace in routing.workspaces() {
                 if let Some(cap) = workspace.cap {
                     log::debug!(
--- a/gateway/src/edge/datagrams.rs
+++ b/gateway/src/edge/datagrams.rs
@@ -50,6 +50,7 @@
         }
         send_signal_digest(&edge, &socket).await;
         send_quarantine_digest(&edge, &socket).await;
+        send_duty_poll(&edge, &socket).await;
         let interval = if edge.is_relayed() {
             RELAYED_REPORT_INTERVAL
         } else {
@@ -93,6 +94,17 @@
     }
 }
 
+/// Asks all hosts for their counts if this host holds the duties and a poll is due.
+async fn send_duty_poll(edge: &Rc<Edge>, socket: &UdpSocket) {
+    let Some((poll, targets)) = edge.next_duty_poll() else {
+        return;
+    };
+    let mut bytes = PeerMessage::DutyPoll(poll).encode();
+    for host in targets {
+        bytes = send_datagram(edge, socket, host, bytes).await;
+    }
+}
+
 /// Sends summary rounds while this host is a hub.
 pub(crate) async fn send_summaries(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut round_number: u32 = 0;
@@ -162,6 +174,13 @@
             Some(PeerMessage::CellSummary(summary)) => edge.apply_cell_summary(summary),
             Some(PeerMessage::SignalDigest(digest)) => edge.apply_signal_digest(digest),
             Some(PeerMessage::QuarantineDigest(digest)) => edge.apply_quarantine_digest(&digest),
+            Some(PeerMessage::DutyPoll(poll)) => {
+                if let Some(reply) = edge.apply_duty_poll(&poll) {
+                    let bytes = PeerMessage::DutyReply(reply).encode();
+                    send_datagram(&edge, &socket, sender.ip(), bytes).await;
+                }
+            }
+            Some(PeerMessage::DutyReply(reply)) => edge.apply_duty_reply(reply),
             None => edge.count("beat_unreadable"),
         }
     }
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -112,6 +112,7 @@
             return Err(DispatchFailure::Unreachable);
         }
         Err(SendFailure::MaybeRun) => {
+            job.record_presumed_begun(asked);
             run.end(RunEnd::Disconnected);
             return Err(DispatchFailure::MayHaveRun);
         }
@@ -154,10 +155,14 @@
         return Err(DispatchFailure::MayHaveRun);
     }
     if promises_not_run(status) || status.is_server_error() && job.may_run_again() {
+        job.record_presumed_begun(asked);
         run.end(RunEnd::Failed);
         return Err(DispatchFailure::Failed);
     }
     connection.apply_keep_alive(keep_alive_seconds(head));
+    if !status.is_success() || !job.route.kind.is_stream() {
+        job.record_begun(asked);
+    }
     Ok(EndpointExchange {
         run,
         connection,
--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -120,6 +120,7 @@
         match next_step(&mut state.job, source, &mut state.splitter).await {
             StreamStep::Events(events) => {
                 let job = &mut state.job;
+                job.record_begun(Instant::now());
                 job.first_byte.get_or_insert_with(|| job.arrived.elapsed());
                 state.last_id = events.last_id.or(state.last_id);
                 return Ok(Some((events.bytes, state)));
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -64,6 +64,8 @@
     pub waited: Duration,
     /// Time from the arrival to the first byte of the response.
     pub first_byte: Option<Duration>,
+    /// Whether the request was counted as begun for the usage reports.
+    pub is_counted: bool,
     /// Place at another endpoint that was granted because the current one is silent.
     pub next_run: Option<PlacedRun>,
     /// Counts the request until its response is complete.
@@ -71,6 +73,24 @@
 }
 
 impl ForwardJob {
+    /// Counts the request for the usage reports, once, as begun at `begun`.
+    pub fn record_begun(&mut self, begun: Instant) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        if let Some(workspace) = &self.workspace {
+            self.edge.record_usage_begun(&workspace.name, begun);
+        }
+    }
+
+    /// Counts a request that an endpoint has accepted and failed. A stream begins with its first
+    /// event, which has not arrived.
+    pub fn record_presumed_begun(&mut self, begun: Instant) {
+        if !self.route.kind.is_stream() {
+            self.record_begun(begun);
+        }
+    }
+
     /// Returns whether another endpoint may run the request although one may have run it already.
     pub fn may_run_again(&self) -> bool {
         self.route.kind.is_repeatable() && self.runs < self.route.max_attempts
@@ -285,6 +305,7 @@
         if job.runs > 0 {
             return EdgeFault::EndpointBroken.into();
         }
+        job.edge.record_unserved(&job.service);
         let fault = match reason {
             RefusalReason::WaitExpired => EdgeFault::QueueWait,
             RefusalReason::QueueFull => EdgeFault::QueueFull,
--- a/gateway/src/edge/metrics.rs
+++ b/gateway/src/edge/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::backpressure::SignalCounts;
+use crate::duties::DutyStatus;
 use crate::ids::TierNumber;
 use crate::membership::FeedTopic;
 
@@ -30,6 +31,12 @@
     tier: u32,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OrderLabel {
+    service: String,
+    zone: String,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct FeedLabel {
     feed: &'static str,
@@ -52,6 +59,8 @@
     pub feed_ages: Vec<(FeedTopic, Duration)>,
     /// Endpoints that restrict the requests of this host.
     pub signals: SignalCounts,
+    /// What this host knows of the duties; `None` if the deployment has none.
+    pub duties: Option<DutyStatus>,
     /// Contents of requests that are blocked because they crash endpoints.
     pub contents_blocked: usize,
     /// Removals of endpoints that are held back.
@@ -76,6 +85,11 @@
     endpoints_paused: Gauge,
     endpoints_leaving: Gauge,
     contents_blocked: Gauge,
+    duty_token: Gauge,
+    duty_window: Gauge,
+    duty_missed: Gauge,
+    duty_lag: Gauge<f64, std::sync::atomic::AtomicU64>,
+    endpoints_ordered: Family<OrderLabel, Gauge>,
     waiting: Family<TierLabel, Gauge>,
     feed_age: Family<FeedLabel, Gauge<f64, std::sync::atomic::AtomicU64>>,
     removals_held: Gauge,
@@ -101,12 +115,18 @@
             endpoints_paused: Gauge::default(),
             endpoints_leaving: Gauge::default(),
             contents_blocked: Gauge::default(),
+            duty_token: Gauge::default(),
+            duty_window: Gauge::default(),
+            duty_missed: Gauge::default(),
+            duty_lag: Gauge::default(),
+            endpoints_ordered: Family::default(),
             waiting: Family::default(),
             feed_age: Family::default(),
             removals_held: Gauge::default(),
             removal_held: Gauge::default(),
         };
         metrics.register();
+        metrics.register_duties();
         metrics
     }
 }
@@ -203,6 +223,42 @@
         );
     }
 
+    /// Registers the metrics of the duties.
+    fn register_duties(&mut self) {
+        let registry = &mut self.registry;
+        let gauges = [
+            (
+                "duty_token",
+                "Fencing token while this host holds the duties, otherwise 0",
+                &self.duty_token,
+            ),
+            (
+                "duty_window",
+                "Last window whose usage report this host has delivered",
+                &self.duty_window,
+            ),
+            (
+                "duty_windows_missed",
+                "Windows that this host could not report",
+                &self.duty_missed,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register_with_unit(
+            "duty_lag",
+            "Time since the end of the oldest window that the holder has not reported",
+            Unit::Seconds,
+            self.duty_lag.clone(),
+        );
+        registry.register(
+            "endpoints_ordered",
+            "Endpoints that the holder of the duties has ordered",
+            self.endpoints_ordered.clone(),
+        );
+    }
+
     /// Increments the counter of an event.
     pub fn count(&self, event: &'static str) {
         self.events.get_or_create(&EventLabel { event }).inc();
@@ -214,6 +270,25 @@
         self.queue_time.observe(waited.as_secs_f64());
     }
 
+    fn set_duties(&self, status: Option<&DutyStatus>) {
+        let Some(status) = status else { return };
+        self.duty_token
+            .set(gauge_value(status.token.unwrap_or_default()));
+        self.duty_window
+            .set(gauge_value(status.last_reported.unwrap_or_default()));
+        self.duty_missed.set(gauge_value(status.missed));
+        self.duty_lag.set(status.lag.as_secs_f64());
+        self.endpoints_ordered.clear();
+        for order in status.orders.iter().filter(|_| status.token.is_some()) {
+            let label = OrderLabel {
+                service: order.service.to_string(),
+                zone: order.zone.to_string(),
+            };
+            let gauge = self.endpoints_ordered.get_or_create(&label);
+            gauge.set(gauge_value(order.endpoints));
+        }
+    }
+
     /// Sets the gauges and returns all metrics as text.
     pub fn render(&self, gauges: &HostGauges) -> String {
         self.config_version.set(gauge_value(gauges.config_version));
@@ -228,6 +303,7 @@
         self.endpoints_leaving.set(gauge_value(signals.leaving));
         self.contents_blocked
             .set(gauge_value(gauges.contents_blocked));
+        self.set_duties(gauges.duties.as_ref());
         self.waiting.clear();
         for (tier, waiting) in &gauges.waiting {
             let tier = u32::from(*tier);
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -12,6 +12,7 @@
 mod dialect;
 mod directory;
 mod dispatch;
+mod duty_control;
 mod event_relay;
 mod event_splitter;
 mod failover;
--- a/gateway/src/edge/rollout_control.rs
+++ b/gateway/src/edge/rollout_control.rs
@@ -44,6 +44,7 @@
 
     /// Records a request that this host sends to an endpoint.
     pub(crate) fn record_version_dispatch(&self, endpoint: &EndpointEntry) {
+        self.record_demand_dispatch(&endpoint.service);
         let rollouts = &mut self.state.borrow_mut().rollouts;
         rollouts.record_dispatch(&endpoint.service, &endpoint.version);
     }
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use crate::duties::DutySettings;
 use crate::ids::ZoneName;
 use crate::limits::{CapTolerance, RetryBudgetSettings};
 use crate::rollouts::ExposureBound;
@@ -39,6 +40,8 @@
     pub rollout_exposure: ExposureBound,
     /// Maximum number of open connections of callers.
     pub max_caller_connections: usize,
+    /// Duties that one host performs for all; `None` if the deployment has none.
+    pub duties: Option<DutySettings>,
 }
 
 impl EdgeSettings {
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -10,6 +10,7 @@
 
 use super::connection_pool::ConnectionPool;
 use super::dialect::{CatalogArchive, WireDialect};
+use super::duty_control::read_clocks;
 use super::in_flight::InFlightTable;
 use super::metrics::{EdgeMetrics, HostGauges};
 use super::peer_messages::SentMembers;
@@ -18,6 +19,7 @@
 use super::stop_gate::StopGate;
 use crate::catalog::{CatalogState, REREGISTRATION_TIME, RemovalHold};
 use crate::configs::SchedulerSettings;
+use crate::duties::DutyState;
 use crate::ids::{FastMap, HostAddress, Incarnation, TicketNumber};
 use crate::limits::{RetryBudget, UsageCaps};
 use crate::membership::{
@@ -42,6 +44,8 @@
     pub budget: RetryBudget,
     pub rollouts: RolloutController,
     pub quarantine: QuarantineTable,
+    /// `None` if the deployment has no duties.
+    pub duties: Option<DutyState>,
     pub members: MemberTable,
     pub feed_positions: FeedPositions,
     /// Hubs and store readers, as derived from the known hosts.
@@ -121,6 +125,10 @@
             ),
             rollouts: RolloutController::new(settings.rollout_exposure),
             quarantine: QuarantineTable::default(),
+            duties: settings
+                .duties
+                .clone()
+                .map(|duties| DutyState::new(duties, settings.host, incarnation, read_clocks())),
             members,
             feed_positions: FeedPositions::default(),
             relay_plan: RelayPlan::default(),
@@ -283,6 +291,10 @@
             waiting: state.scheduler.waiting_by_tier(),
             feed_ages: state.feed_positions.ages(now),
             signals: state.scheduler.signal_counts(now),
+            duties: state
+                .duties
+                .as_ref()
+                .map(|duties| duties.status(read_clocks().boot)),
             contents_blocked: state.quarantine.blocked_count(),
             removals_held: held.len(),
             removal_held_for: held.first().map(|held| now.duration_since(held.since)),
@@ -343,6 +355,7 @@
         }
         self.update_live_hosts(now);
         self.tick_quarantine(now);
+        self.observe_duty_load(now);
         if has_waiting {
             self.schedule(SchedulerEvent::Tick);
         }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backpressure;
 pub mod catalog;
 pub mod configs;
+pub mod duties;
 pub mod edge;
 mod gossip;
 pub mod ids;
--- a/gateway/src/membership/peer_message.rs
+++ b/gateway/src/membership/peer_message.rs
@@ -5,6 +5,7 @@
 use super::feed_positions::FeedPosition;
 use super::hubs::{CellSummary, HubSummary, MemberReport};
 use crate::backpressure::SignalReport;
+use crate::duties::{DutyPoll, DutyReply};
 use crate::ids::HostAddress;
 use crate::limits::UsageReport;
 use crate::quarantine::QuarantineReport;
@@ -61,6 +62,8 @@
     CellSummary(CellSummary),
     SignalDigest(SignalDigest),
     QuarantineDigest(QuarantineDigest),
+    DutyPoll(DutyPoll),
+    DutyReply(DutyReply),
 }
 
 impl PeerMessage {
--- a/gateway/src/scheduler/mod.rs
+++ b/gateway/src/scheduler/mod.rs
@@ -7,12 +7,14 @@
 mod endpoint_signals;
 mod pace;
 mod queue;
+mod service_load;
 mod shared_load;
 mod state;
 mod tier_shares;
 mod types;
 mod version_shares;
 
+pub use service_load::ServiceLoad;
 pub use state::SchedulerState;
 pub use types::{
     EndpointReport, PaceReport, RefusalReason, RunEnd, SchedulerEffect, SchedulerEvent, WorkItem,
--- a/gateway/src/scheduler/queue.rs
+++ b/gateway/src/scheduler/queue.rs
@@ -105,6 +105,11 @@
         self.items.iter().find(|item| item.ticket == ticket)
     }
 
+    /// Returns the service of each waiting request.
+    pub fn item_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.items.iter().map(|item| &item.service)
+    }
+
     pub fn services(&self) -> Vec<ServiceName> {
         let mut services: Vec<_> = self.items.iter().map(|item| item.service.clone()).collect();
         services.sort_unstable();
--- /dev/null
+++ b/gateway/src/scheduler/service_load.rs
@@ -0,0 +1,46 @@
+//! Load of a service over all of its endpoints.
+
+use std::time::Instant;
+
+use super::state::SchedulerState;
+use crate::ids::{FastMap, ServiceName, ZoneName};
+
+/// The endpoints of a service and the places that are taken, by the runs of all hosts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// Maximum number of places of one endpoint.
+    pub slots: u32,
+    pub active: u32,
+    /// Zones with their number of endpoints and whether requests may be sent there.
+    pub zones: Vec<(ZoneName, u32, bool)>,
+}
+
+impl SchedulerState {
+    /// Returns the load of a service.
+    #[must_use]
+    pub fn service_load(&self, service: &ServiceName, now: Instant) -> ServiceLoad {
+        let mut load = ServiceLoad::default();
+        let endpoints = self.loads.iter();
+        for endpoint in endpoints.filter(|endpoint| endpoint.entry.service == *service) {
+            load.slots = load.slots.max(endpoint.entry.slots);
+            load.active += endpoint.active(self.settings.peer_expiry, now);
+            let zone = &endpoint.entry.zone;
+            match load.zones.iter_mut().find(|known| known.0 == *zone) {
+                Some(known) => known.1 += 1,
+                None => load.zones.push((zone.clone(), 1, !self.is_evacuated(zone))),
+            }
+        }
+        load.zones.sort_unstable();
+        load
+    }
+
+    /// Returns the number of requests that wait, by service.
+    #[must_use]
+    pub fn waiting_by_service(&self) -> FastMap<ServiceName, u32> {
+        let mut waiting: FastMap<ServiceName, u32> = FastMap::default();
+        for service in self.waiting_services() {
+            *waiting.entry(service.clone()).or_default() += 1;
+        }
+        waiting
+    }
+}
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -179,6 +179,15 @@
         self.queue.count_by_tier()
     }
 
+    /// Returns the service of each waiting request.
+    pub(super) fn waiting_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.queue.item_services()
+    }
+
+    pub(super) fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        self.evacuated_zones.contains(zone)
+    }
+
     /// Returns whether this host's load changed since the last call.
     pub fn take_load_changed(&mut self) -> bool {
         std::mem::take(&mut self.load_changed)
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -45,6 +45,7 @@
         cold_start: Duration::from_secs(3),
         cold_rate_per_s,
         model_engine,
+        scaling: None,
         tokens_per_event: None,
     }
 }
