Overload: shares of workspaces, and admission to plain services

Cause: a workspace that sends six times its usual was served as often as a quiet one, on all hosts alike, and 80 hosts sent to three plain endpoints whose load they know later than an answer takes: rejected arrivals, queues on both sides, and half of the answers late.

Change: limits/fair_share.rs computes max-min shares weighted by the caps' rates from the usage that hosts already exchange; a workspace far over its share is refused (2311) while endpoints are full. scheduler/ plain_admission.rs controls the share of requests that a host refuses so that the wait at the endpoints stays within the latency target.

--- a/gateway/src/configs/scheduler.rs
+++ b/gateway/src/configs/scheduler.rs
@@ -28,6 +28,9 @@
     pub min_tier_share: f64,
     /// Half-life of the counts behind this share.
     pub share_half_life: Duration,
+    /// Time after a service was found full for which it counts as overloaded. A host of a large
+    /// fleet has few requests in it.
+    pub overload_memory: Duration,
     /// Maximum number of requests that wait at one host. It bounds memory at about 64 KB per
     /// waiting prompt.
     pub max_queued: usize,
@@ -83,6 +86,7 @@
             prefill_time_per_1k_tokens: Duration::from_millis(25),
             min_tier_share: 0.5,
             share_half_life: Duration::from_secs(4),
+            overload_memory: Duration::from_millis(1_500),
             max_queued: 2_000,
             initial_backoff: Duration::from_millis(200),
             max_backoff: Duration::from_millis(1_600),
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -21,7 +21,7 @@
 use super::reply::{EdgeFault, fault_reply};
 use super::state::Edge;
 use crate::catalog::{RequestKind, RouteEntry, WorkspaceEntry};
-use crate::ids::{ContentHash, EndpointId, ServiceName, TierNumber};
+use crate::ids::{ContentHash, EndpointId, ServiceName, TierNumber, hash_name};
 use crate::scheduler::{RefusalReason, RunEnd, WorkItem};
 
 /// Maximum size of a response that is buffered until it is complete.
@@ -245,6 +245,7 @@
         tier = job_tier(job), route_tier = job.route.tier,
         prompt = job.usage.unwrap_or_default().0, expected = job.expected_output,
         waited_ms = job.waited.as_millis(),
+        limit_ms = job.deadline.saturating_duration_since(job.arrived).as_millis(),
         first_byte_ms = job.first_byte.unwrap_or_default().as_millis(),
         took_ms = took.as_millis(), config_version = job.edge.catalog_version();
         "request: ended"
@@ -288,6 +289,10 @@
     let item = WorkItem {
         ticket: 0,
         service: job.service.clone(),
+        workspace: job
+            .workspace
+            .as_ref()
+            .map(|workspace| hash_name(&workspace.name)),
         tier: job_tier(job),
         route_tier: job.route.tier,
         arrived: job.arrived,
@@ -308,6 +313,7 @@
         job.edge.record_unserved(&job.service);
         let fault = match reason {
             RefusalReason::WaitExpired => EdgeFault::QueueWait,
+            RefusalReason::OverShare => EdgeFault::OverShare,
             RefusalReason::QueueFull => EdgeFault::QueueFull,
             RefusalReason::NoEndpoint => EdgeFault::NoEndpoint,
             RefusalReason::Restricted => EdgeFault::EndpointsRestricted,
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -16,6 +16,7 @@
 mod event_relay;
 mod event_splitter;
 mod failover;
+mod fair_share_control;
 mod forward;
 mod headers;
 mod hosts;
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -23,6 +23,8 @@
     /// The request reached the maximum wait in the queue.
     QueueWait,
     QueueFull,
+    /// The workspace asks for more than its share while there is not enough room for all.
+    OverShare,
     NoEndpoint,
     Stopping,
     /// The time limit expired before the request was sent to an endpoint.
@@ -73,6 +75,7 @@
                 "endpoints_restricted",
             ),
             Self::Quarantined => (2310, StatusCode::SERVICE_UNAVAILABLE, "quarantined"),
+            Self::OverShare => (2311, StatusCode::SERVICE_UNAVAILABLE, "over_share"),
             Self::Timeout => (2501, StatusCode::GATEWAY_TIMEOUT, "timeout"),
             Self::EndpointBroken => (2502, StatusCode::BAD_GATEWAY, "endpoint_broken"),
             Self::GraceEnded => (2503, StatusCode::GATEWAY_TIMEOUT, "grace_ended"),
@@ -81,7 +84,7 @@
     }
 
     /// All faults, ordered by code.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::NoRoute,
         Self::UnknownKey,
         Self::BodyTooLarge,
@@ -98,6 +101,7 @@
         Self::EndpointsRefused,
         Self::EndpointsRestricted,
         Self::Quarantined,
+        Self::OverShare,
         Self::Timeout,
         Self::EndpointBroken,
         Self::GraceEnded,
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -78,6 +78,8 @@
     pub(super) live_hosts: Vec<HostAddress>,
     /// Whether a complete list of endpoints has been received. Endpoints that appear later are new.
     pub(super) endpoints_listed: bool,
+    /// When the shares of workspaces were computed last, and how many were limited.
+    pub(super) kept_shares_updated: Option<(Instant, usize)>,
     /// Whether a peer has reported all that it knows of blocked contents.
     pub(super) is_introduced: bool,
     /// Time at which the shutdown of this host started.
@@ -148,6 +150,7 @@
             member_view: MemberView::default(),
             live_hosts: Vec::new(),
             endpoints_listed: false,
+            kept_shares_updated: None,
             is_introduced: false,
             leaving_since: None,
         };
@@ -356,6 +359,7 @@
         self.update_live_hosts(now);
         self.tick_quarantine(now);
         self.observe_duty_load(now);
+        self.update_kept_shares(now);
         if has_waiting {
             self.schedule(SchedulerEvent::Tick);
         }
--- a/gateway/src/limits/usage_cap.rs
+++ b/gateway/src/limits/usage_cap.rs
@@ -14,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::fair_share::WorkspaceDemand;
 use super::relayed_usage::RelayedUsage;
 use super::usage_window::UsageWindow;
 use crate::catalog::{UsageCap, UsageUnit, WorkspaceEntry};
@@ -123,6 +124,10 @@
     /// `refilled`. While hosts do not learn of each other's usage, they may admit all of their
     /// demand.
     recent_demand: f64,
+    /// Approximate units within the cap that hosts admitted in the same time.
+    recent_admitted: f64,
+    /// Part of them that did not run.
+    recent_refunded: f64,
     refilled: Instant,
     /// Usage by this host since its start.
     count: UsageCount,
@@ -139,6 +144,8 @@
             level: 0.0,
             overshoot,
             recent_demand: 0.0,
+            recent_admitted: 0.0,
+            recent_refunded: 0.0,
             refilled: now,
             count: UsageCount::default(),
         }
@@ -148,7 +155,10 @@
         let elapsed = now.duration_since(self.refilled).as_secs_f64();
         let level = self.level + elapsed * share * self.cap.rate_per_s;
         self.level = level.min(self.cap.burst * share);
-        self.recent_demand *= (-elapsed / DEMAND_DECAY_TIME.as_secs_f64()).exp();
+        let decay = (-elapsed / DEMAND_DECAY_TIME.as_secs_f64()).exp();
+        self.recent_demand *= decay;
+        self.recent_admitted *= decay;
+        self.recent_refunded *= decay;
         self.refilled = now;
         self.move_debt_to_overshoot(tolerance, share, now);
     }
@@ -156,11 +166,13 @@
     /// Takes units from the cap, and those that exceed it from the overshoot.
     fn consume(&mut self, units: f64, tolerance: &CapTolerance, share: f64, now: Instant) {
         self.level -= units;
+        self.recent_admitted += units;
         self.move_debt_to_overshoot(tolerance, share, now);
     }
 
     /// Returns units to the bucket that were admitted but did not run.
     fn refund(&mut self, units: f64) {
+        self.recent_refunded += units;
         self.level = (self.level + units).min(self.cap.burst);
     }
 
@@ -391,6 +403,24 @@
         }
     }
 
+    /// Returns the recent usage of all hosts by workspace, except for its tier.
+    pub fn recent_demands(&mut self, now: Instant) -> Vec<WorkspaceDemand> {
+        let (tolerance, share) = (self.tolerance, self.share);
+        let buckets = self.buckets.iter_mut();
+        buckets
+            .map(|(name, bucket)| {
+                bucket.refill(&tolerance, share, now);
+                WorkspaceDemand {
+                    workspace: hash_name(name),
+                    tier: None,
+                    weight: bucket.cap.rate_per_s,
+                    asked: bucket.recent_admitted,
+                    served: (bucket.recent_admitted - bucket.recent_refunded).max(0.0),
+                }
+            })
+            .collect()
+    }
+
     /// Returns whether this host's usage changed since the last call.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -1,11 +1,12 @@
 //! Chooses an endpoint for one request.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rollout_judge::RolloutSide;
 
 use super::endpoint_load::EndpointLoad;
 use super::pace::weighted_tokens;
+use super::plain_admission::max_crowding;
 use super::types::WorkItem;
 use crate::backpressure::{SendPermission, SignalTable};
 use crate::catalog::{EndpointEntry, ServiceEntry};
@@ -18,6 +19,9 @@
 /// Requests that a plain service may receive beyond its slots. It queues a few of them, and they
 /// are short.
 const PLAIN_QUEUE_DEPTH: u32 = 2;
+/// Requests that a plain endpoint may hold for each of its slots where its load is known late.
+/// Plain endpoints queue a few times their slots and reject what goes beyond.
+const MAX_PLAIN_CROWDING: f64 = 4.0;
 
 /// Outcome of choosing an endpoint for a request.
 pub(crate) enum EndpointChoice {
@@ -142,10 +146,16 @@
         any_usable = true;
         let is_too_slow = engine && !finishes_in_time(load, item, events, now);
         any_in_time |= !is_too_slow;
-        if !has_capacity(load, engine, settings, now) {
+        let has_stale_loads = limits.scan_share < 1.0;
+        let max_active = match (engine, has_stale_loads) {
+            (true, _) => load.entry.slots.max(1),
+            (false, false) => load.entry.slots.max(1).saturating_add(PLAIN_QUEUE_DEPTH),
+            (false, true) => max_plain_active(load, item),
+        };
+        if !has_capacity(load, engine, max_active, settings, now) {
             continue;
         }
-        let noise_range = if engine || limits.scan_share >= 1.0 {
+        let noise_range = if engine || !has_stale_loads {
             settings.cost_noise
         } else {
             settings.plain_cost_noise
@@ -196,18 +206,34 @@
     expected <= left.as_secs_f64() * 1_000.0
 }
 
+/// Returns how many requests a plain endpoint may hold so that each is still answered in time. Its
+/// load is known too late for a shorter queue there: slots would stand empty between two reports.
+fn max_plain_active(load: &EndpointLoad, item: &WorkItem) -> u32 {
+    let target = item
+        .first_byte_deadline
+        .saturating_duration_since(item.arrived);
+    let answer_time = Duration::from_secs_f64(load.pace.uncrowded_answer_ms() / 1_000.0);
+    let crowding = max_crowding(answer_time, target).min(MAX_PLAIN_CROWDING);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a few times the slots of an endpoint"
+    )]
+    let max_active = (f64::from(load.entry.slots.max(1)) * crowding) as u32;
+    max_active
+}
+
 fn has_capacity(
     load: &mut EndpointLoad,
     engine: bool,
+    max_active: u32,
     settings: &SchedulerSettings,
     now: Instant,
 ) -> bool {
     if load.health.is_suspect() && load.own_active() > 0 {
         return false;
     }
-    let depth = if engine { 0 } else { PLAIN_QUEUE_DEPTH };
-    let capacity = load.entry.slots.max(1).saturating_add(depth);
-    if load.active(settings.peer_expiry, now) >= capacity {
+    if load.active(settings.peer_expiry, now) >= max_active {
         return false;
     }
     if engine && !load.has_slot_credit() {
--- a/gateway/src/scheduler/endpoint_load.rs
+++ b/gateway/src/scheduler/endpoint_load.rs
@@ -20,6 +20,8 @@
     tokens: f64,
     /// Weighted tokens that the endpoint processes before this run's first byte.
     tokens_ahead: f64,
+    /// Requests at the endpoint for each of its slots, this one included; one at least.
+    crowding: f64,
     first_byte: Option<Instant>,
 }
 
@@ -72,6 +74,7 @@
             dispatched: now,
             tokens,
             tokens_ahead: tokens + self.pending_prefill_tokens(expiry, now),
+            crowding: self.crowding_with_one_more(expiry, now),
             first_byte: None,
         };
         self.runs.insert(item.ticket, run);
@@ -93,7 +96,7 @@
             let tokens = run.tokens_ahead;
             self.pace.record_first_byte(tokens, took);
         } else {
-            self.pace.record_answer(took);
+            self.pace.record_answer(took, run.crowding);
         }
     }
 
@@ -123,6 +126,13 @@
             .saturating_add(peers)
     }
 
+    /// Returns the requests at the endpoint for each of its slots if it gets a further one; one at
+    /// least.
+    fn crowding_with_one_more(&self, expiry: Duration, now: Instant) -> f64 {
+        let active = f64::from(self.active(expiry, now).saturating_add(1));
+        (active / f64::from(self.entry.slots.max(1))).max(1.0)
+    }
+
     /// Returns the weighted prompt tokens of all hosts that the endpoint has not processed yet.
     pub fn pending_prefill_tokens(&self, expiry: Duration, now: Instant) -> f64 {
         let peers: f64 = self
--- a/gateway/src/scheduler/mod.rs
+++ b/gateway/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_load;
 mod endpoint_signals;
 mod pace;
+pub mod plain_admission;
 mod queue;
 mod service_load;
 mod shared_load;
--- a/gateway/src/scheduler/pace.rs
+++ b/gateway/src/scheduler/pace.rs
@@ -85,6 +85,8 @@
     min_gap_ms: Option<f64>,
     /// Time for the answer of a plain service.
     answer: LearnedTime,
+    /// Time for such an answer while the endpoint has a slot for each request.
+    uncrowded_answer: LearnedTime,
     unreported: UnreportedTimes,
 }
 
@@ -95,6 +97,7 @@
             event_gap: LearnedTime::unknown(DEFAULT_EVENT_GAP_MS),
             min_gap_ms: None,
             answer: LearnedTime::unknown(DEFAULT_ANSWER_MS),
+            uncrowded_answer: LearnedTime::unknown(DEFAULT_ANSWER_MS),
             unreported: UnreportedTimes::default(),
         }
     }
@@ -147,8 +150,16 @@
         self.min_gap_ms
     }
 
-    pub fn record_answer(&mut self, took: Duration) {
-        self.answer.record(took.as_secs_f64() * 1_000.0, 1.0);
+    /// Records the time for an answer of a plain service. `crowding`: the requests for each slot of
+    /// the endpoint when this one was sent.
+    pub fn record_answer(&mut self, took: Duration, crowding: f64) {
+        let millis = took.as_secs_f64() * 1_000.0;
+        self.answer.record(millis, 1.0);
+        self.uncrowded_answer.record(millis / crowding, 1.0);
+    }
+
+    pub fn uncrowded_answer_ms(&self) -> f64 {
+        self.uncrowded_answer.millis
     }
 
     /// Removes and returns this host's observations since its last report; `None` while there are
--- a/gateway/src/scheduler/service_load.rs
+++ b/gateway/src/scheduler/service_load.rs
@@ -1,7 +1,8 @@
 //! Load of a service over all of its endpoints.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::plain_admission::PlainLoad;
 use super::state::SchedulerState;
 use crate::ids::{FastMap, ServiceName, ZoneName};
 
@@ -34,6 +35,30 @@
         load
     }
 
+    /// Returns the load of the usable endpoints of a plain service.
+    pub(super) fn plain_load(&self, service: &ServiceName, now: Instant) -> PlainLoad {
+        let mut load = PlainLoad::default();
+        let mut answer_ms = 0.0;
+        let mut endpoints = 0.0;
+        for endpoint in &self.loads {
+            let entry = &endpoint.entry;
+            let is_usable = entry.service == *service
+                && !entry.draining
+                && !self.is_evacuated(&entry.zone)
+                && !endpoint.health.is_blocked(now);
+            if is_usable {
+                load.slots += f64::from(entry.slots.max(1));
+                load.active += f64::from(endpoint.active(self.settings.peer_expiry, now));
+                answer_ms += endpoint.pace.uncrowded_answer_ms();
+                endpoints += 1.0;
+            }
+        }
+        if endpoints > 0.0 {
+            load.answer_time = Duration::from_secs_f64(answer_ms / endpoints / 1_000.0);
+        }
+        load
+    }
+
     /// Returns the number of requests that wait, by service.
     #[must_use]
     pub fn waiting_by_service(&self) -> FastMap<ServiceName, u32> {
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -9,6 +9,7 @@
 
 use super::choice::{ChoiceLimits, EndpointChoice, EndpointPool, choose_endpoint};
 use super::endpoint_load::EndpointLoad;
+use super::plain_admission::PlainAdmission;
 use super::queue::{WaitQueue, max_wait};
 use super::tier_shares::ServiceShares;
 use super::types::{
@@ -19,7 +20,8 @@
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
 use crate::ids::{
-    EndpointId, FastMap, HostAddress, ServiceName, TicketNumber, TierNumber, VersionName, ZoneName,
+    EndpointId, FastMap, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, VersionName,
+    ZoneName,
 };
 
 /// Minimum retry delay for refused callers. An overload lasts for seconds, so a caller that returns
@@ -41,6 +43,9 @@
     pub(super) signals: SignalTable,
     queue: WaitQueue,
     shares: ServiceShares,
+    plain_admissions: FastMap<ServiceName, PlainAdmission>,
+    /// Part of its requests that a workspace may send while there is not enough room.
+    kept_shares: FastMap<NameHash, f64>,
     /// Endpoints of the active runs of this host.
     run_endpoints: FastMap<TicketNumber, EndpointId>,
     pub(super) own_host: Option<HostAddress>,
@@ -70,6 +75,8 @@
             signals: SignalTable::default(),
             queue: WaitQueue::default(),
             shares: ServiceShares::default(),
+            plain_admissions: FastMap::default(),
+            kept_shares: FastMap::default(),
             run_endpoints: FastMap::default(),
             own_host: None,
             hosts: Vec::new(),
@@ -162,6 +169,10 @@
                 self.update_sender_view();
             }
             SchedulerEvent::CellChanged(cell) => self.cell = cell,
+            SchedulerEvent::KeptSharesChanged(shares) => {
+                self.kept_shares = shares;
+                return Vec::new();
+            }
             SchedulerEvent::Tick => {}
         }
         self.dispatch_waiting(now)
@@ -274,12 +285,55 @@
                     .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             }];
         }
+        let is_first = item.excluded.is_empty();
+        if is_first && let Some(reason) = self.overload_refusal(&item, now) {
+            return vec![self.refuse(&item, reason, now)];
+        }
         self.queue.push(item);
         let mut effects = Vec::new();
         self.dispatch_service(&service, now, &mut effects);
         effects
     }
 
+    /// Returns why a request is refused before it waits, if there is not enough room for all: its
+    /// workspace is over its share, or answers of a crowded plain service would be late.
+    fn overload_refusal(&mut self, item: &WorkItem, now: Instant) -> Option<RefusalReason> {
+        let crowded_share = self.crowded_share(item, now);
+        let last_full = self
+            .shares
+            .get(&item.service)
+            .and_then(|shares| shares.last_full);
+        let was_full =
+            last_full.is_some_and(|last| now.duration_since(last) < self.settings.overload_memory);
+        let kept_share = item
+            .workspace
+            .and_then(|workspace| self.kept_shares.get(&workspace));
+        if let Some(kept_share) = kept_share
+            && (was_full || crowded_share > 0.0)
+            && self.random.random::<f64>() >= *kept_share
+        {
+            return Some(RefusalReason::OverShare);
+        }
+        (self.random.random::<f64>() < crowded_share).then_some(RefusalReason::WaitExpired)
+    }
+
+    /// Returns the share of requests to be refused because the endpoints of a plain service are so
+    /// crowded that answers would be late. Only where loads are known later than such answers take.
+    fn crowded_share(&mut self, item: &WorkItem, now: Instant) -> f64 {
+        let (_, hosts) = self.competing_hosts();
+        let service = self.services.get(&item.service);
+        let is_engine = service.is_some_and(|service| service.model_engine);
+        if is_engine || hosts <= self.settings.max_full_scan_hosts {
+            return 0.0;
+        }
+        let load = self.plain_load(&item.service, now);
+        let target = item.first_byte_deadline.saturating_duration_since(now);
+        let admission = self.plain_admissions.entry(item.service.clone());
+        admission
+            .or_default()
+            .refused_share(&load, target, item.tier, now)
+    }
+
     /// Returns the expected wait of a request if it exceeds the request's maximum. It is better to
     /// refuse the caller at once than after the wait.
     fn excessive_wait(&self, item: &WorkItem, now: Instant) -> Option<Duration> {
@@ -373,12 +427,10 @@
                 }
             };
             if item.excluded.is_empty() {
-                let shares = self.shares.entry(service.clone()).or_default();
-                shares.slots_full =
+                let is_full =
                     matches!(choice, EndpointChoice::Full | EndpointChoice::Restricted(_));
-                if shares.slots_full {
-                    shares.overload_since.get_or_insert(now);
-                }
+                let shares = self.shares.entry(service.clone()).or_default();
+                shares.record_look(is_full, now);
             }
             match choice {
                 EndpointChoice::Found(index) => {
--- a/gateway/src/scheduler/tier_shares.rs
+++ b/gateway/src/scheduler/tier_shares.rs
@@ -40,11 +40,22 @@
     tiers: FastMap<TierNumber, TierCount>,
     /// Whether all usable slots were taken when one was last looked for.
     pub slots_full: bool,
+    /// When all usable slots were last found taken.
+    pub last_full: Option<Instant>,
     /// Start of the current overload: since then, there were always requests waiting for slots.
     pub overload_since: Option<Instant>,
 }
 
 impl TierShares {
+    /// Records whether all usable slots were taken when one was looked for.
+    pub fn record_look(&mut self, is_full: bool, now: Instant) {
+        self.slots_full = is_full;
+        if is_full {
+            self.last_full = Some(now);
+            self.overload_since.get_or_insert(now);
+        }
+    }
+
     pub fn record_request(&mut self, tier: TierNumber, settings: &SchedulerSettings, now: Instant) {
         self.add(tier, 1.0, 0.0, settings, now);
     }
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -8,7 +8,7 @@
 use crate::backpressure::{EndpointSignal, SignalChange, SignalReport};
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::ids::{
-    EndpointId, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, ZoneName,
+    EndpointId, FastMap, HostAddress, NameHash, ServiceName, TicketNumber, TierNumber, ZoneName,
 };
 use crate::rollouts::VersionShare;
 
@@ -17,6 +17,7 @@
 pub struct WorkItem {
     pub ticket: TicketNumber,
     pub service: ServiceName,
+    pub workspace: Option<NameHash>,
     /// Tier of the workspace, or of the route if the workspace has none. A higher tier always goes
     /// first.
     pub tier: TierNumber,
@@ -132,6 +133,9 @@
     PacesObserved(Vec<PaceReport>),
     /// Estimates of a host that learns of all runs.
     PacesEstimated(Vec<PaceReport>),
+    /// The part of its requests that a workspace may send while there is not enough room; all for
+    /// those that are left out.
+    KeptSharesChanged(FastMap<NameHash, f64>),
     /// The set of live hosts changed. It includes this host, and `hosts_in_zone` of them are in its
     /// zone.
     HostsChanged {
@@ -150,6 +154,8 @@
 pub enum RefusalReason {
     /// The request waited, or would have to wait, for longer than its tier allows.
     WaitExpired,
+    /// The workspace asks for more than its share, and there is not enough room for all.
+    OverShare,
     /// The queue of this host is full.
     QueueFull,
     /// No endpoint of the service is usable.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -93,6 +93,7 @@
     WorkItem {
         ticket,
         service: "pool".into(),
+        workspace: None,
         tier: 1,
         route_tier,
         arrived,
