Memory: one account for the bodies of requests and responses

Callers of which many send large bodies and stop just short of their end filled the memory of a host, and its process ended. Each body was bounded alone, their sum wasn't, and each took two to four times its length: frames that keep read buffers, a joined copy, a flattened copy, and write buffers of up to 64 MiB.

gateway/src/memory decides who gets memory and who gives it back; bodies draw from it before they grow, and connections flush each 64 KiB.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -3,25 +3,31 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request, header};
-use http_util::{BodyError, head_bytes, read_body};
+use http_util::head_bytes;
 use hyper::body::Incoming;
 
+use super::body_reader::{MemoryHold, ReadFailure, read_whole_body};
 use super::forward::{ForwardError, ForwardJob};
 use super::headers;
 use super::in_flight::InFlightGuard;
 use super::reply::EdgeFault;
 use super::state::Edge;
-use crate::catalog::{RouteEntry, RoutingTable, WorkspaceEntry};
+use crate::catalog::{CallerLimits, RouteEntry, RoutingTable, WorkspaceEntry};
 use crate::ids::{ContentHash, hash_content};
 use crate::limits::UsageVerdict;
+use crate::memory::BodyUse;
 
 /// Time after the start of the shutdown for which new requests are still accepted. Callers need it
 /// to learn of another host. Later requests could not be finished within the grace period.
 const LEAVING_ACCEPT_WINDOW: Duration = Duration::from_millis(2_500);
+/// Retry delay sent to callers while memory is short: the time after which bodies without progress
+/// give theirs back.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Retry delay sent to callers before the first configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -64,17 +70,7 @@
         route,
         headers::text(&parts.headers, &names.api_key),
     )?;
-    let reading = read_body(body, limits.max_body_bytes, limits.idle_timeout);
-    let body = edge
-        .stop_gate
-        .run_until_open(reading)
-        .await
-        .ok_or_else(ForwardError::stopping)?
-        .map_err(|error| match error {
-            BodyError::TooLarge { .. } => EdgeFault::BodyTooLarge,
-            BodyError::TooSlow { .. } => EdgeFault::BodyTooSlow,
-            BodyError::Truncated => EdgeFault::BodyCut,
-        })?;
+    let (body, body_memory) = read_request_body(edge, body, &limits).await?;
     // The body may have taken long: the shutdown may have started since the head arrived.
     if is_too_late(edge) {
         return Err(ForwardError::stopping());
@@ -112,6 +108,7 @@
         method: parts.method,
         uri: parts.uri,
         body,
+        _body_memory: body_memory,
         usage,
         expected_output,
         contents: contents.into(),
@@ -128,6 +125,34 @@
     })
 }
 
+/// Reads the body of a request within the limits of the configuration and of the memory.
+async fn read_request_body(
+    edge: &Rc<Edge>,
+    body: Incoming,
+    limits: &CallerLimits,
+) -> Result<(Bytes, MemoryHold), ForwardError> {
+    let reading = read_whole_body(edge, body, BodyUse::Request, limits.max_body_bytes);
+    let reading = compio::time::timeout(limits.idle_timeout, reading);
+    let read = edge
+        .stop_gate
+        .run_until_open(reading)
+        .await
+        .ok_or_else(ForwardError::stopping)?;
+    let fault = match read {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(ReadFailure::TooLarge)) => EdgeFault::BodyTooLarge,
+        Ok(Err(ReadFailure::Truncated)) => EdgeFault::BodyCut,
+        Ok(Err(ReadFailure::NoMemory)) => {
+            return Err(ForwardError {
+                fault: EdgeFault::MemoryFull,
+                retry_after: Some(MEMORY_RETRY_AFTER),
+            });
+        }
+        Ok(Err(ReadFailure::Reclaimed)) | Err(_) => EdgeFault::BodyTooSlow,
+    };
+    Err(fault.into())
+}
+
 /// Returns the hashes of what may crash endpoints in this and in other requests: the shared parts of
 /// its prompt, and the whole request, which its caller may send again under another id.
 fn request_contents(
--- a/gateway/src/edge/body.rs
+++ b/gateway/src/edge/body.rs
@@ -7,6 +7,8 @@
 use futures_util::Stream;
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::body_reader::MemoryHold;
+
 /// Events of a stream. An error closes the connection of the caller.
 pub(crate) type EventStream = Pin<Box<dyn Stream<Item = std::io::Result<Bytes>>>>;
 
@@ -14,6 +16,11 @@
 pub(crate) enum EdgeBody {
     /// A complete body, `None` once it is sent or if it is empty.
     Complete(Option<Bytes>),
+    /// A complete body whose memory stays in the account until the reply is written.
+    Held {
+        bytes: Option<Bytes>,
+        _memory: MemoryHold,
+    },
     /// A stream of events.
     Events(EventStream),
 }
@@ -34,7 +41,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
         match &mut *self {
-            Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Complete(bytes) | Self::Held { bytes, .. } => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             Self::Events(events) => events
                 .as_mut()
                 .poll_next(context)
@@ -43,12 +52,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(None))
+        matches!(self, Self::Complete(None) | Self::Held { bytes: None, .. })
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(bytes) => {
+            Self::Complete(bytes) | Self::Held { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Events(_) => SizeHint::default(),
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -132,7 +132,8 @@
     let status = response.status();
     let head = response.headers();
     let echoed = headers::text(head, &names.request_id);
-    if echoed.is_some_and(|echoed| echoed != job.id) {
+    let is_foreign = echoed.is_some_and(|echoed| echoed != job.id);
+    if is_foreign || !is_final_status(status) {
         run.end(RunEnd::Broken);
         return Err(DispatchFailure::MayHaveRun);
     }
@@ -170,6 +171,12 @@
     })
 }
 
+/// Returns whether a status can be that of a final answer. The HTTP library discards interim
+/// responses, except for a switch of protocols that nobody asked for, and accepts statuses up to 999.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether callers take a status as a promise that the request was not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::admit::{admit_request, total_tokens};
 use super::body::EdgeBody;
+use super::body_reader::{MemoryHold, ReadFailure, read_whole_body};
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
@@ -22,6 +22,7 @@
 use super::state::Edge;
 use crate::catalog::{RequestKind, RouteEntry, WorkspaceEntry};
 use crate::ids::{ContentHash, EndpointId, ServiceName, TierNumber, hash_name};
+use crate::memory::BodyUse;
 use crate::scheduler::{RefusalReason, RunEnd, WorkItem};
 
 /// Maximum size of a response that is buffered until it is complete.
@@ -46,6 +47,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Keeps the memory of the body in the account.
+    pub _body_memory: MemoryHold,
     /// Prompt tokens and maximum output tokens, as announced by the caller.
     pub usage: Option<(u32, u32)>,
     /// Expected number of output tokens, no more than those of `usage`.
@@ -409,13 +412,17 @@
         let failed = parts.status.is_server_error();
         exchange.run.has_succeeded = parts.status.is_success();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let edge = Rc::clone(&job.edge);
+        let reading = read_whole_body(&edge, body, BodyUse::Response, MAX_RESPONSE_BYTES);
         let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
             AnswerWait::Ended(Ok(collected)) => Ok(collected),
+            AnswerWait::Ended(Err(ReadFailure::Reclaimed)) => {
+                Err((RunEnd::Stalled, DispatchFailure::MayHaveRun))
+            }
             AnswerWait::Ended(Err(_)) => Err((RunEnd::Disconnected, DispatchFailure::MayHaveRun)),
             AnswerWait::Replaced => Err((RunEnd::Stalled, DispatchFailure::Silent)),
         };
-        let collected = match collected {
+        let (bytes, memory) = match collected {
             Ok(collected) => collected,
             Err((end, failure)) => {
                 exchange.run.end(end);
@@ -440,7 +447,7 @@
         if !is_closing {
             job.edge.pool.release(&endpoint, exchange.connection);
         }
-        let mut reply = Response::new(reply_body(job, collected.to_bytes()));
+        let mut reply = Response::new(reply_body(job, bytes, memory));
         *reply.status_mut() = parts.status;
         *reply.headers_mut() = headers::end_to_end(&parts.headers);
         return Ok(reply);
@@ -455,11 +462,14 @@
 }
 
 /// Returns the body of the reply, which is empty for HEAD requests.
-fn reply_body(job: &ForwardJob, bytes: Bytes) -> EdgeBody {
+fn reply_body(job: &ForwardJob, bytes: Bytes, memory: MemoryHold) -> EdgeBody {
     if job.method == Method::HEAD || bytes.is_empty() {
         return EdgeBody::empty();
     }
-    EdgeBody::Complete(Some(bytes))
+    EdgeBody::Held {
+        bytes: Some(bytes),
+        _memory: memory,
+    }
 }
 
 /// Returns whether the request's stream may be resumed at another endpoint.
--- a/gateway/src/edge/lingering_stream.rs
+++ b/gateway/src/edge/lingering_stream.rs
@@ -6,6 +6,7 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use http_util::WriteLimiter;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
 /// Maximum time for which a connection is read after its last answer was written.
@@ -24,6 +25,7 @@
     stream: HyperStream<TcpStream>,
     /// Time at which bytes were last written.
     written: Option<Instant>,
+    limiter: WriteLimiter,
     /// Set once the sending side is closed.
     timer: Option<LingerTimer>,
 }
@@ -33,6 +35,7 @@
         Self {
             stream: HyperStream::new_plain(stream),
             written: None,
+            limiter: WriteLimiter::default(),
             timer: None,
         }
     }
@@ -76,8 +79,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        self.written = Some(Instant::now());
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let this = &mut *self;
+        this.written = Some(Instant::now());
+        this.limiter.poll_write(&mut this.stream, context, bytes)
     }
 
     fn poll_write_vectored(
@@ -85,8 +89,10 @@
         context: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        self.written = Some(Instant::now());
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let this = &mut *self;
+        this.written = Some(Instant::now());
+        this.limiter
+            .poll_write_vectored(&mut this.stream, context, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/gateway/src/edge/metrics.rs
+++ b/gateway/src/edge/metrics.rs
@@ -14,6 +14,7 @@
 use crate::duties::DutyStatus;
 use crate::ids::TierNumber;
 use crate::membership::FeedTopic;
+use crate::memory::MemoryUsage;
 
 /// Upper bound of the first histogram bucket. Each bound is twice the one before, so that the
 /// buckets cover 5 ms to 41 s, the longest time limit of a route.
@@ -59,6 +60,8 @@
     pub feed_ages: Vec<(FeedTopic, Duration)>,
     /// Endpoints that restrict the requests of this host.
     pub signals: SignalCounts,
+    /// Memory of the bodies of requests and responses.
+    pub memory: MemoryUsage,
     /// What this host knows of the duties; `None` if the deployment has none.
     pub duties: Option<DutyStatus>,
     /// Contents of requests that are blocked because they crash endpoints.
@@ -85,6 +88,9 @@
     endpoints_paused: Gauge,
     endpoints_leaving: Gauge,
     contents_blocked: Gauge,
+    memory_requests: Gauge,
+    memory_responses: Gauge,
+    memory_budget: Gauge,
     duty_token: Gauge,
     duty_window: Gauge,
     duty_missed: Gauge,
@@ -115,6 +121,9 @@
             endpoints_paused: Gauge::default(),
             endpoints_leaving: Gauge::default(),
             contents_blocked: Gauge::default(),
+            memory_requests: Gauge::default(),
+            memory_responses: Gauge::default(),
+            memory_budget: Gauge::default(),
             duty_token: Gauge::default(),
             duty_window: Gauge::default(),
             duty_missed: Gauge::default(),
@@ -223,10 +232,25 @@
         );
     }
 
-    /// Registers the metrics of the duties.
+    /// Registers the metrics of the memory account and of the duties.
     fn register_duties(&mut self) {
         let registry = &mut self.registry;
         let gauges = [
+            (
+                "memory_requests_bytes",
+                "Memory of request bodies",
+                &self.memory_requests,
+            ),
+            (
+                "memory_responses_bytes",
+                "Memory of responses that are buffered whole",
+                &self.memory_responses,
+            ),
+            (
+                "memory_budget_bytes",
+                "Memory that both may occupy",
+                &self.memory_budget,
+            ),
             (
                 "duty_token",
                 "Fencing token while this host holds the duties, otherwise 0",
@@ -303,6 +327,11 @@
         self.endpoints_leaving.set(gauge_value(signals.leaving));
         self.contents_blocked
             .set(gauge_value(gauges.contents_blocked));
+        let memory = gauges.memory;
+        self.memory_requests.set(gauge_value(memory.request_bytes));
+        self.memory_responses
+            .set(gauge_value(memory.response_bytes));
+        self.memory_budget.set(gauge_value(memory.budget_bytes));
         self.set_duties(gauges.duties.as_ref());
         self.waiting.clear();
         for (tier, waiting) in &gauges.waiting {
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -26,6 +26,8 @@
     /// The workspace asks for more than its share while there is not enough room for all.
     OverShare,
     NoEndpoint,
+    /// There is no memory for the body of the request.
+    MemoryFull,
     Stopping,
     /// The time limit expired before the request was sent to an endpoint.
     TimeoutUnrun,
@@ -76,6 +78,7 @@
             ),
             Self::Quarantined => (2310, StatusCode::SERVICE_UNAVAILABLE, "quarantined"),
             Self::OverShare => (2311, StatusCode::SERVICE_UNAVAILABLE, "over_share"),
+            Self::MemoryFull => (2312, StatusCode::SERVICE_UNAVAILABLE, "memory_full"),
             Self::Timeout => (2501, StatusCode::GATEWAY_TIMEOUT, "timeout"),
             Self::EndpointBroken => (2502, StatusCode::BAD_GATEWAY, "endpoint_broken"),
             Self::GraceEnded => (2503, StatusCode::GATEWAY_TIMEOUT, "grace_ended"),
@@ -84,7 +87,7 @@
     }
 
     /// All faults, ordered by code.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::NoRoute,
         Self::UnknownKey,
         Self::BodyTooLarge,
@@ -102,6 +105,7 @@
         Self::EndpointsRestricted,
         Self::Quarantined,
         Self::OverShare,
+        Self::MemoryFull,
         Self::Timeout,
         Self::EndpointBroken,
         Self::GraceEnded,
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -40,6 +40,8 @@
     pub rollout_exposure: ExposureBound,
     /// Maximum number of open connections of callers.
     pub max_caller_connections: usize,
+    /// Memory that bodies of requests and responses may occupy together, in bytes.
+    pub body_memory_bytes: usize,
     /// Duties that one host performs for all; `None` if the deployment has none.
     pub duties: Option<DutySettings>,
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -25,6 +25,7 @@
 use crate::membership::{
     FeedPositions, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, RelayPlan, UpdateQueue,
 };
+use crate::memory::{HolderNumber, MemoryAccount};
 use crate::quarantine::QuarantineTable;
 use crate::rollouts::RolloutController;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
@@ -67,6 +68,10 @@
     /// Whether a feed position has changed since the last heartbeat.
     pub feed_positions_changed: bool,
     pub(super) removals: RemovalHold,
+    /// Memory of the bodies of requests and responses.
+    pub(super) memory: MemoryAccount,
+    /// Ends the reading of bodies that have to give their memory back.
+    pub(super) reclaim_signals: FastMap<HolderNumber, oneshot::Sender<()>>,
     /// Requests that wait for a decision of the scheduler.
     pending_placements: FastMap<TicketNumber, oneshot::Sender<Placement>>,
     last_ticket: TicketNumber,
@@ -144,6 +149,8 @@
             summary_number: 0,
             feed_positions_changed: false,
             removals: RemovalHold::default(),
+            memory: MemoryAccount::new(settings.body_memory_bytes),
+            reclaim_signals: FastMap::default(),
             pending_placements: FastMap::default(),
             last_ticket: 0,
             heartbeat_number: 0,
@@ -294,6 +301,7 @@
             waiting: state.scheduler.waiting_by_tier(),
             feed_ages: state.feed_positions.ages(now),
             signals: state.scheduler.signal_counts(now),
+            memory: state.memory.usage(),
             duties: state
                 .duties
                 .as_ref()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ids;
 pub mod limits;
 pub mod membership;
+pub mod memory;
 pub mod quarantine;
 mod rendezvous;
 pub mod rollouts;
--- a/http-util/src/keep_alive.rs
+++ b/http-util/src/keep_alive.rs
@@ -18,6 +18,8 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::write_limiter::WriteLimiter;
+
 /// Time after which unacknowledged data breaks a connection. There is no other sign that the peer
 /// has lost power or that the network is partitioned.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -54,6 +56,7 @@
     buffer: Vec<u8>,
     /// Bytes read since the connection last yielded.
     turn_bytes: usize,
+    limiter: WriteLimiter,
 }
 
 impl Read for BoundedStream {
@@ -91,7 +94,23 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let this = &mut *self;
+        this.limiter.poll_write(&mut this.stream, context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let this = &mut *self;
+        this.limiter
+            .poll_write_vectored(&mut this.stream, context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        // Otherwise each body would be copied behind its head.
+        true
     }
 
     fn poll_flush(
@@ -136,6 +155,7 @@
                 remaining_bytes: Rc::clone(&remaining_bytes),
                 buffer: Vec::new(),
                 turn_bytes: 0,
+                limiter: WriteLimiter::default(),
             })
             .await
             .map_err(std::io::Error::other)?;
