--- a/gateway/src/duties/capacity_plan.rs
+++ b/gateway/src/duties/capacity_plan.rs
@@ -45,6 +45,15 @@
     pub endpoints: u32,
 }
 
+/// Endpoints of a service in one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneEndpoints {
+    pub zone: ZoneName,
+    pub running: u32,
+    /// Whether requests may be sent there.
+    pub is_usable: bool,
+}
+
 /// Load of a service over all hosts. The counts of requests increase with time.
 #[derive(Clone, Debug)]
 pub struct CapacityObservation {
@@ -57,8 +66,8 @@
     pub waiting: u32,
     pub dispatched: u64,
     pub refused: u64,
-    /// Zones in which the service runs, with their endpoints and whether requests may be sent there.
-    pub zones: Vec<(ZoneName, u32, bool)>,
+    /// Zones in which the service runs.
+    pub zones: Vec<ZoneEndpoints>,
 }
 
 #[derive(Debug)]
@@ -184,7 +193,11 @@
         let knows_peak = plan
             .since
             .is_some_and(|since| now.saturating_sub(since) >= memory);
-        let usable = observation.zones.iter().filter(|zone| zone.2).count();
+        let usable = observation
+            .zones
+            .iter()
+            .filter(|zone| zone.is_usable)
+            .count();
         let slots = f64::from(observation.slots.max(1));
         let wanted = |demand: f64| {
             let endpoints = demand / (slots * TARGET_UTILIZATION);
@@ -196,7 +209,12 @@
             .last_raise
             .is_none_or(|last| now.saturating_sub(last) >= MIN_AVERAGING_TIME);
         let mut has_changed = false;
-        for (zone, running, is_usable) in &observation.zones {
+        for endpoints in &observation.zones {
+            let ZoneEndpoints {
+                zone,
+                running,
+                is_usable,
+            } = endpoints;
             let inherited = self
                 .inherited
                 .iter()
--- a/gateway/src/duties/lease.rs
+++ b/gateway/src/duties/lease.rs
@@ -65,6 +65,15 @@
     renewed: BootTime,
 }
 
+/// The newest lease record that this host has seen.
+#[derive(Clone, Debug)]
+struct SeenLease {
+    offset: u64,
+    record: LeaseRecord,
+    /// When this host saw the record first.
+    since: BootTime,
+}
+
 #[derive(Clone, Debug)]
 struct PendingAppend {
     sent: BootTime,
@@ -80,8 +89,7 @@
     duration: Duration,
     /// Where the log ended, as of the last read or append.
     position: Option<LogPosition>,
-    /// The newest lease record, its offset, and when this host first saw it.
-    seen: Option<(u64, LeaseRecord, BootTime)>,
+    seen: Option<SeenLease>,
     last_read: Option<BootTime>,
     held: Option<HeldLease>,
     pending: Option<PendingAppend>,
@@ -133,7 +141,7 @@
     /// Returns the record of the lease that this host has seen last.
     #[must_use]
     pub fn seen_record(&self) -> Option<&LeaseRecord> {
-        self.seen.as_ref().map(|(_, record, _)| record)
+        self.seen.as_ref().map(|seen| &seen.record)
     }
 
     /// Returns where the next append is made.
@@ -227,7 +235,7 @@
         if !self.is_candidate(rank, now) {
             return false;
         }
-        let Some((_, record, since)) = &self.seen else {
+        let Some(SeenLease { record, since, .. }) = &self.seen else {
             return true;
         };
         // Nobody else can have acted since this host's own record.
@@ -292,7 +300,11 @@
             log::info!(token = record.token, released = record.released, era = record.era; "duties: lease recorded");
         }
         self.holder_heard = now;
-        self.seen = Some((offset, record, now));
+        self.seen = Some(SeenLease {
+            offset,
+            record,
+            since: now,
+        });
     }
 
     /// Gives up the lease without writing to the log.
@@ -323,23 +335,19 @@
                 is_appended = true;
             }
         }
-        let is_known = |record: &LeaseRecord, offset: u64| {
+        let is_known = listing.lease.as_ref().is_some_and(|(offset, record)| {
             let seen = self.seen.as_ref();
-            seen.is_some_and(|(known, seen, _)| *known == offset && seen == record) && !era_changed
-        };
-        match &listing.lease {
-            Some((offset, record)) if is_known(record, *offset) => {}
-            Some((offset, record)) => self.seen = Some((*offset, record.clone(), now)),
-            None => self.seen = None,
+            seen.is_some_and(|seen| seen.offset == *offset && seen.record == *record)
+        });
+        if !is_known || era_changed {
+            self.seen = newest_lease(listing, now);
         }
         let is_holder = self.seen_record().is_some_and(|record| {
             record.holder == self.own && record.incarnation == self.incarnation && !record.released
         });
         if self.held.is_some() && (!is_holder || era_changed) {
             self.lose(if era_changed { "era" } else { "overtaken" });
-            if let Some((offset, record)) = &listing.lease {
-                self.seen = Some((*offset, record.clone(), now));
-            }
+            self.seen = newest_lease(listing, now);
         }
         self.position = Some(LogPosition {
             era: listing.era,
@@ -378,3 +386,12 @@
         self.held.is_some_and(|held| held.token < self.min_token)
     }
 }
+
+fn newest_lease(listing: &DutyListing, now: BootTime) -> Option<SeenLease> {
+    let (offset, record) = listing.lease.clone()?;
+    Some(SeenLease {
+        offset,
+        record,
+        since: now,
+    })
+}
--- a/gateway/src/duties/mod.rs
+++ b/gateway/src/duties/mod.rs
@@ -12,7 +12,9 @@
 mod usage_counter;
 mod usage_ledger;
 
-pub use capacity_plan::{CapacityObservation, CapacityPlan, EndpointOrder, ScalingBounds};
+pub use capacity_plan::{
+    CapacityObservation, CapacityPlan, EndpointOrder, ScalingBounds, ZoneEndpoints,
+};
 pub use duty_records::{DutyListing, DutyRecord, LeaseRecord, UsageRecord};
 pub use duty_state::{
     CallOutcome, DutyCall, DutyHosts, DutyLogAction, DutySettings, DutyState, DutyStatus,
--- a/gateway/src/edge/metrics.rs
+++ b/gateway/src/edge/metrics.rs
@@ -135,7 +135,7 @@
             removal_held: Gauge::default(),
         };
         metrics.register();
-        metrics.register_duties();
+        metrics.register_memory_and_duties();
         metrics
     }
 }
@@ -233,7 +233,7 @@
     }
 
     /// Registers the metrics of the memory account and of the duties.
-    fn register_duties(&mut self) {
+    fn register_memory_and_duties(&mut self) {
         let registry = &mut self.registry;
         let gauges = [
             (
--- a/gateway/src/scheduler/service_load.rs
+++ b/gateway/src/scheduler/service_load.rs
@@ -4,7 +4,8 @@
 
 use super::plain_admission::PlainLoad;
 use super::state::SchedulerState;
-use crate::ids::{FastMap, ServiceName, ZoneName};
+use crate::duties::ZoneEndpoints;
+use crate::ids::{FastMap, ServiceName};
 
 /// The endpoints of a service and the places that are taken, by the runs of all hosts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -12,8 +13,7 @@
     /// Maximum number of places of one endpoint.
     pub slots: u32,
     pub active: u32,
-    /// Zones with their number of endpoints and whether requests may be sent there.
-    pub zones: Vec<(ZoneName, u32, bool)>,
+    pub zones: Vec<ZoneEndpoints>,
 }
 
 impl SchedulerState {
@@ -26,12 +26,16 @@
             load.slots = load.slots.max(endpoint.entry.slots);
             load.active += endpoint.active(self.settings.peer_expiry, now);
             let zone = &endpoint.entry.zone;
-            match load.zones.iter_mut().find(|known| known.0 == *zone) {
-                Some(known) => known.1 += 1,
-                None => load.zones.push((zone.clone(), 1, !self.is_evacuated(zone))),
+            match load.zones.iter_mut().find(|known| known.zone == *zone) {
+                Some(known) => known.running += 1,
+                None => load.zones.push(ZoneEndpoints {
+                    zone: zone.clone(),
+                    running: 1,
+                    is_usable: !self.is_evacuated(zone),
+                }),
             }
         }
-        load.zones.sort_unstable();
+        load.zones.sort_unstable_by(|a, b| a.zone.cmp(&b.zone));
         load
     }
 
--- a/gateway/tests/duties.rs
+++ b/gateway/tests/duties.rs
@@ -6,7 +6,7 @@
 use gateway::duties::{
     AppendOutcome, CallOutcome, CandidateRank, CapacityObservation, CapacityPlan, ClockReading,
     DutyCall, DutyHosts, DutyListing, DutyLogAction, DutyRecord, DutySettings, DutyState,
-    ScalingBounds, UsageRecord,
+    ScalingBounds, UsageRecord, ZoneEndpoints,
 };
 use gateway::ids::{FastMap, HostAddress, WorkspaceName, hash_name};
 use rand::rngs::SmallRng;
@@ -409,6 +409,14 @@
     fleet.check_calls();
 }
 
+fn zone_a(running: u32) -> Vec<ZoneEndpoints> {
+    vec![ZoneEndpoints {
+        zone: "a".into(),
+        running,
+        is_usable: true,
+    }]
+}
+
 /// Guards against an old order that the platform carries out after a newer one.
 #[test]
 fn an_order_without_an_answer_is_fenced_by_the_next_one() {
@@ -427,7 +435,7 @@
         waiting: 0,
         dispatched: 100,
         refused: 0,
-        zones: vec![("a".into(), 5, true)],
+        zones: zone_a(5),
     };
     fleet.lost_answers = 1;
     fleet.hosts[holder]
@@ -594,7 +602,7 @@
                 waiting: 0,
                 dispatched: dispatched as u64,
                 refused: refused as u64,
-                zones: vec![("a".into(), running as u32, true)],
+                zones: zone_a(running as u32),
             };
             plan.observe(&observation, Duration::from_secs(second));
             let order = plan.orders().first().map_or(5, |order| order.endpoints);
