Second sends of slow requests, within a limit of the operators

Cause: endpoints that are slow for a moment spoil the slowest answers; a request that may be repeated waited for a third of its time limit before another endpoint was asked.

Change: gateway/src/hedging keeps the times to the first byte by route and size of the prompt, and the allowance of second sends; edge/hedge_sends.rs joins it to the existing fail-over. Off by default (--hedge-percent).

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -121,6 +121,8 @@
         first_byte: None,
         is_counted: false,
         next_run: None,
+        dispatched_at: None,
+        is_hedged: false,
         in_flight,
     })
 }
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -87,13 +87,15 @@
     };
     let request = endpoint_request(job, &endpoint, resume_after);
     let asked = Instant::now();
+    job.dispatched_at = Some(asked);
     job.runs += 1;
     job.in_flight.record_sent();
     let sending = connection.send(request);
     let sent = match wait_or_fail_over(job, silence_limit(job), sending).await {
         AnswerWait::Ended(sent) => sent,
         AnswerWait::Replaced => {
-            run.end(RunEnd::Stalled);
+            run.record_hedge_time();
+            run.end(job.replaced_end());
             return Err(DispatchFailure::Silent);
         }
     };
@@ -199,6 +201,16 @@
 /// Returns how long an endpoint may be silent before another one is requested, or `None` if the
 /// request may not run again.
 pub(crate) fn silence_limit(job: &ForwardJob) -> Option<Duration> {
+    let lost_limit = lost_limit(job)?;
+    Some(
+        job.hedge_delay()
+            .map_or(lost_limit, |delay| delay.min(lost_limit)),
+    )
+}
+
+/// Returns how long an endpoint may be silent before it counts as lost, or `None` if the request may
+/// not run again.
+pub(crate) fn lost_limit(job: &ForwardJob) -> Option<Duration> {
     if !job.may_fail_over() {
         return None;
     }
--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -156,7 +156,7 @@
     let time_left = time_left.saturating_sub(max_gap);
     match compio::time::timeout(time_left, fail_over(job, step)).await {
         Ok(AnswerWait::Ended(step)) => step,
-        Ok(AnswerWait::Replaced) => StreamStep::Broken(RunEnd::Stalled),
+        Ok(AnswerWait::Replaced) => StreamStep::Broken(job.replaced_end()),
         Err(_) => StreamStep::Timeout,
     }
 }
@@ -212,12 +212,15 @@
 /// previous endpoint is closed first, so that it stops working on the request.
 async fn resume_stream(state: &mut StreamRelay, end: RunEnd) -> std::io::Result<()> {
     if let Some(source) = state.source.take() {
+        if state.job.is_hedged && !source.run.has_events() {
+            source.run.record_hedge_time();
+        }
         source.run.end(end);
         drop(source.connection);
     }
     state.splitter.clear();
     let mut failure = match end {
-        RunEnd::Stalled => DispatchFailure::Silent,
+        RunEnd::Stalled | RunEnd::Abandoned => DispatchFailure::Silent,
         _ => DispatchFailure::MayHaveRun,
     };
     while is_resumable(&state.job) && may_retry(&state.job, failure) {
--- a/gateway/src/edge/failover.rs
+++ b/gateway/src/edge/failover.rs
@@ -8,6 +8,7 @@
 use futures_util::future::{Either, select};
 
 use super::forward::{ForwardJob, place_job};
+use super::hedge_sends::{EarlySend, HedgePermit};
 use super::placement::PlacedRun;
 use super::state::Edge;
 use crate::ids::ServiceName;
@@ -45,8 +46,16 @@
 /// answer counts. An answer withdraws the request for another endpoint.
 pub(crate) async fn fail_over<T, F: Future<Output = T>>(
     job: &mut ForwardJob,
-    answer: Pin<&mut F>,
+    mut answer: Pin<&mut F>,
 ) -> AnswerWait<T> {
+    let hedge = match HedgePermit::take_if_early(job) {
+        EarlySend::Lost => None,
+        EarlySend::Permitted(permit) => Some(permit),
+        EarlySend::Denied(rest) => match compio::time::timeout(rest, answer.as_mut()).await {
+            Ok(ended) => return AnswerWait::Ended(ended),
+            Err(_) => None,
+        },
+    };
     job.edge.count("endpoint_silent");
     log::info!(
         id = job.id.as_str(), endpoint = job.tried.last().map_or("-", |id| id.as_str()),
@@ -59,6 +68,10 @@
         Either::Right((run, _)) => run,
     };
     job.next_run = Some(run);
+    job.is_hedged = hedge.is_some();
+    if let Some(permit) = hedge {
+        permit.spend();
+    }
     AnswerWait::Replaced
 }
 
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -71,6 +71,10 @@
     pub is_counted: bool,
     /// Place at another endpoint that was granted because the current one is silent.
     pub next_run: Option<PlacedRun>,
+    /// Time of the last dispatch.
+    pub dispatched_at: Option<Instant>,
+    /// Whether that place was granted because the current endpoint is slow, which is no fault of it.
+    pub is_hedged: bool,
     /// Counts the request until its response is complete.
     pub in_flight: InFlightGuard,
 }
@@ -183,6 +187,7 @@
     {
         let state = &mut *edge.state.borrow_mut();
         state.budget.record_request(&job.service, job.arrived);
+        state.hedging.record_request();
     }
     // The future is large, and those of all callers' connections are moved around.
     let answering = Box::pin(answer_within_deadline(&mut job));
@@ -420,7 +425,7 @@
                 Err((RunEnd::Stalled, DispatchFailure::MayHaveRun))
             }
             AnswerWait::Ended(Err(_)) => Err((RunEnd::Disconnected, DispatchFailure::MayHaveRun)),
-            AnswerWait::Replaced => Err((RunEnd::Stalled, DispatchFailure::Silent)),
+            AnswerWait::Replaced => Err((job.replaced_end(), DispatchFailure::Silent)),
         };
         let (bytes, memory) = match collected {
             Ok(collected) => collected,
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -20,6 +20,7 @@
 mod fair_share_control;
 mod forward;
 mod headers;
+mod hedge_sends;
 mod hosts;
 mod in_flight;
 mod lingering_stream;
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -7,6 +7,7 @@
 use super::quarantine_control::hex_list;
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
+use crate::hedging::size_factor;
 use crate::ids::{ContentHash, RouteName, TicketNumber};
 use crate::rollouts::{VersionRun, pace_ms};
 use crate::scheduler::{RefusalReason, RunEnd, SchedulerEvent, WorkItem};
@@ -63,6 +64,7 @@
         ticket,
         armed: true,
     };
+    let prompt_factor = size_factor(item.prompt_tokens);
     edge.schedule(SchedulerEvent::Submitted(item));
     let placement = decision.await;
     guard.armed = false;
@@ -78,6 +80,7 @@
             route,
             contents,
             expected_events,
+            size_factor: prompt_factor,
             placed_at: Instant::now(),
             ended: false,
             events: 0,
@@ -105,6 +108,8 @@
     contents: Rc<[ContentHash]>,
     /// Expected number of events.
     expected_events: f64,
+    /// Factor by which the prompt takes longer than an empty one.
+    size_factor: f64,
     placed_at: Instant,
     ended: bool,
     events: u32,
@@ -118,9 +123,19 @@
 impl PlacedRun {
     /// Reports the first byte of the response to the scheduler.
     pub fn record_first_byte(&self) {
+        self.record_hedge_time();
         self.edge.schedule(SchedulerEvent::FirstByte(self.ticket));
     }
 
+    /// Records how long the endpoint has taken, for the decision when later requests are slow.
+    pub fn record_hedge_time(&self) {
+        let state = &mut *self.edge.state.borrow_mut();
+        let took = self.placed_at.elapsed();
+        state
+            .hedging
+            .record_time(&self.route, self.size_factor, took);
+    }
+
     /// Counts events of a stream. The first events also count as the first byte.
     pub fn record_events(&mut self, events: u32) {
         if self.first_event.is_none() {
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::duties::DutySettings;
+use crate::hedging::HedgeSettings;
 use crate::ids::ZoneName;
 use crate::limits::{CapTolerance, RetryBudgetSettings};
 use crate::rollouts::ExposureBound;
@@ -42,6 +43,8 @@
     pub max_caller_connections: usize,
     /// Memory that bodies of requests and responses may occupy together, in bytes.
     pub body_memory_bytes: usize,
+    /// Second sends of slow requests.
+    pub hedging: HedgeSettings,
     /// Duties that one host performs for all; `None` if the deployment has none.
     pub duties: Option<DutySettings>,
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -20,6 +20,7 @@
 use crate::catalog::{CatalogState, REREGISTRATION_TIME, RemovalHold};
 use crate::configs::SchedulerSettings;
 use crate::duties::DutyState;
+use crate::hedging::HedgeControl;
 use crate::ids::{FastMap, HostAddress, Incarnation, TicketNumber};
 use crate::limits::{RetryBudget, UsageCaps};
 use crate::membership::{
@@ -45,6 +46,7 @@
     pub budget: RetryBudget,
     pub rollouts: RolloutController,
     pub quarantine: QuarantineTable,
+    pub hedging: HedgeControl,
     /// `None` if the deployment has no duties.
     pub duties: Option<DutyState>,
     pub members: MemberTable,
@@ -132,6 +134,7 @@
             ),
             rollouts: RolloutController::new(settings.rollout_exposure),
             quarantine: QuarantineTable::default(),
+            hedging: HedgeControl::new(settings.hedging),
             duties: settings
                 .duties
                 .clone()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod duties;
 pub mod edge;
 mod gossip;
+pub mod hedging;
 pub mod ids;
 pub mod limits;
 pub mod membership;
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -295,16 +295,19 @@
         effects
     }
 
+    /// Returns whether a service was full at its last looks for a place.
+    #[must_use]
+    pub fn is_overloaded(&self, service: &ServiceName, now: Instant) -> bool {
+        let shares = self.shares.get(service);
+        let last_full = shares.and_then(|shares| shares.last_full);
+        last_full.is_some_and(|last| now.duration_since(last) < self.settings.overload_memory)
+    }
+
     /// Returns why a request is refused before it waits, if there is not enough room for all: its
     /// workspace is over its share, or answers of a crowded plain service would be late.
     fn overload_refusal(&mut self, item: &WorkItem, now: Instant) -> Option<RefusalReason> {
         let crowded_share = self.crowded_share(item, now);
-        let last_full = self
-            .shares
-            .get(&item.service)
-            .and_then(|shares| shares.last_full);
-        let was_full =
-            last_full.is_some_and(|last| now.duration_since(last) < self.settings.overload_memory);
+        let was_full = self.is_overloaded(&item.service, now);
         let kept_share = item
             .workspace
             .and_then(|workspace| self.kept_shares.get(&workspace));
