Cold endpoints: a host that has just started sends none

Cause: after the loss of all hosts each one knew only itself and took itself for one of the eight that may send to a cold endpoint.

Change: for two seconds after its start a host sends nothing to cold endpoints. The test plays 80 hosts that know one, some and all others.

--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -38,6 +38,10 @@
 /// woken as soon as updates arrive.
 const MAX_RECEIVED_UPDATE_BYTES: usize = 64 * 1024;
 
+/// Time after its start in which a host learns of the others. After the loss of all hosts each of
+/// them would otherwise count itself among the few that may send to a cold endpoint.
+const DISCOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// Mutable state of a host.
 pub(crate) struct EdgeState {
     pub catalog: CatalogState,
@@ -124,7 +128,7 @@
         for seed in &settings.seeds {
             members.add_host(*seed, now);
         }
-        let state = EdgeState {
+        let mut state = EdgeState {
             catalog: CatalogState::default(),
             scheduler: SchedulerState::new(SchedulerSettings::default(), incarnation),
             caps: UsageCaps::new(settings.cap_tolerance),
@@ -164,6 +168,8 @@
             is_introduced: false,
             leaving_since: None,
         };
+        let cold_sends_from = SchedulerEvent::ColdSendsFrom(now + DISCOVERY_TIME);
+        state.scheduler.reduce(cold_sends_from, now);
         Rc::new(Self {
             settings,
             dialect,
--- a/gateway/src/scheduler/shared_load.rs
+++ b/gateway/src/scheduler/shared_load.rs
@@ -78,6 +78,9 @@
     /// computed for warm endpoints, because a large fleet has hundreds of endpoints and of hosts.
     pub(super) fn assign_cold_rates(&mut self, now: Instant) {
         let Some(own) = self.own_host else { return };
+        if self.cold_sends_from.is_some_and(|from| now < from) {
+            return;
+        }
         // A host that knows no other host may not have discovered them yet.
         let known_hosts = self.hosts.len();
         let max_senders = self.settings.max_cold_senders;
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -56,6 +56,8 @@
     pub(super) cell: Option<ZoneName>,
     /// Number of hosts in this host's zone, itself included.
     pub(super) hosts_in_zone: usize,
+    /// Time before which this host sends nothing to cold endpoints.
+    pub(super) cold_sends_from: Option<Instant>,
     /// Incremented when the rates of cold endpoints must be assigned to hosts again.
     pub(super) cold_rate_version: u64,
     pub(super) random: SmallRng,
@@ -83,6 +85,7 @@
             live_hosts: Vec::new(),
             cell: None,
             hosts_in_zone: 1,
+            cold_sends_from: None,
             cold_rate_version: 0,
             random: SmallRng::seed_from_u64(seed),
             load_changed: false,
@@ -169,6 +172,7 @@
                 self.update_sender_view();
             }
             SchedulerEvent::CellChanged(cell) => self.cell = cell,
+            SchedulerEvent::ColdSendsFrom(from) => self.cold_sends_from = Some(from),
             SchedulerEvent::KeptSharesChanged(shares) => {
                 self.kept_shares = shares;
                 return Vec::new();
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -147,6 +147,8 @@
     LiveHostsChanged(Vec<HostAddress>),
     /// Zone whose loads this host learns first; `None` in a fleet that is not divided into cells.
     CellChanged(Option<ZoneName>),
+    /// This host has just started. Until this time it doesn't know who else sends to cold endpoints.
+    ColdSendsFrom(Instant),
     Tick,
 }
 
--- a/gateway/tests/scheduler.rs
+++ b/gateway/tests/scheduler.rs
@@ -446,3 +446,38 @@
         assert_eq!(dispatched(&effects).len(), 1, "{end:?}");
     }
 }
+
+/// Guards against hosts that all start at once, after the loss of all, while an endpoint is cold:
+/// each of them knows no other host yet and would send to it.
+#[test]
+fn hosts_that_start_at_once_send_nothing_to_cold_endpoints() {
+    const HOSTS: u8 = 80;
+    let start = Instant::now();
+    let mut cold = endpoint("cold", "a");
+    cold.slots = 200;
+    cold.cold_for = Duration::from_secs(8);
+    let all: Vec<_> = (1..=HOSTS).map(host).collect();
+    let (mut early, mut later) = (0, 0);
+    for number in 1..=HOSTS {
+        let mut state = scheduler(&[cold.clone()], true, start);
+        let from = start + Duration::from_secs(2);
+        state.reduce(SchedulerEvent::ColdSendsFrom(from), start);
+        let mut learn = |hosts: &[std::net::IpAddr], after_ms| {
+            let now = start + Duration::from_millis(after_ms);
+            let event = SchedulerEvent::HostsChanged {
+                own_host: host(number),
+                hosts: hosts.to_vec(),
+                hosts_in_zone: hosts.len(),
+            };
+            state.reduce(event, now);
+            let effects = state.reduce(SchedulerEvent::Submitted(work(after_ms, 0, now)), now);
+            dispatched(&effects).len()
+        };
+        early += learn(&[host(number)], 200);
+        early += learn(&all[..usize::from(number)], 700);
+        later += learn(&all, 2_100);
+    }
+    assert_eq!(early, 0);
+    // At most eight senders, each of which may also send what has waited.
+    assert!((1..=24).contains(&later), "{later}");
+}
