Duties: one conversion to milliseconds, no clocks read without duties

A comment said that a reply stays in the account until it is written; it stays until the HTTP library has taken it. Behaviour is unchanged.

--- a/gateway/src/duties/duty_state.rs
+++ b/gateway/src/duties/duty_state.rs
@@ -9,7 +9,7 @@
 use super::usage_ledger::UsageLedger;
 use super::{
     BootTime, ClockReading, DemandReport, DutyListing, DutyPoll, DutyRecord, DutyReply,
-    FencingToken, FleetClock, LeaseRecord, LogEra, UsageCounter, UsageRecord, WindowNumber,
+    FencingToken, FleetClock, LeaseRecord, LogEra, UsageCounter, UsageRecord, WindowNumber, millis,
 };
 use crate::ids::{
     FastMap, HostAddress, Incarnation, NameHash, ServiceName, WorkspaceName, ZoneName,
@@ -570,7 +570,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/gateway/src/duties/mod.rs
+++ b/gateway/src/duties/mod.rs
@@ -33,3 +33,8 @@
 pub type WindowNumber = u64;
 /// Number that the log states in its responses. It increases when the log has lost records.
 pub type LogEra = u64;
+
+/// Returns a time in whole milliseconds.
+fn millis(time: std::time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/gateway/src/duties/usage_counter.rs
+++ b/gateway/src/duties/usage_counter.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{WindowCounts, WindowNumber};
+use super::{WindowCounts, WindowNumber, millis};
 use crate::ids::{FastMap, NameHash};
 
 /// Number of windows that are kept. Reports of older ones are overdue.
@@ -18,9 +18,8 @@
 impl UsageCounter {
     #[must_use]
     pub fn new(window: Duration) -> Self {
-        let window_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
         Self {
-            window_ms: window_ms.max(1),
+            window_ms: millis(window).max(1),
             windows: BTreeMap::new(),
         }
     }
@@ -31,12 +30,6 @@
         fleet_ms / self.window_ms
     }
 
-    /// Returns the time of day at which a window ends.
-    #[must_use]
-    pub fn end_ms(&self, window: WindowNumber) -> u64 {
-        window.saturating_add(1).saturating_mul(self.window_ms)
-    }
-
     /// Counts a request that began to run at `fleet_ms`.
     pub fn record_begun(&mut self, workspace: NameHash, fleet_ms: u64) {
         let window = self.window_at(fleet_ms);
--- a/gateway/src/duties/usage_ledger.rs
+++ b/gateway/src/duties/usage_ledger.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{BootTime, DutyReply, UsageRecord, WindowCounts, WindowNumber};
+use super::{BootTime, DutyReply, UsageRecord, WindowCounts, WindowNumber, millis};
 use crate::ids::{FastMap, HostAddress, Incarnation, NameHash, WorkspaceName};
 
 /// Time after the end of a window for which requests may still be added to it: an answer that begins
@@ -298,7 +298,3 @@
         Duration::from_millis(lag_ms)
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/gateway/src/edge/body.rs
+++ b/gateway/src/edge/body.rs
@@ -16,7 +16,7 @@
 pub(crate) enum EdgeBody {
     /// A complete body, `None` once it is sent or if it is empty.
     Complete(Option<Bytes>),
-    /// A complete body whose memory stays in the account until the reply is written.
+    /// A complete body whose memory stays in the account until the HTTP library has taken it.
     Held {
         bytes: Option<Bytes>,
         _memory: MemoryHold,
--- a/gateway/src/edge/duty_control.rs
+++ b/gateway/src/edge/duty_control.rs
@@ -53,8 +53,10 @@
 
     /// Returns the poll that is due and the hosts that receive it, if this host holds the duties.
     pub(crate) fn next_duty_poll(&self) -> Option<(DutyPoll, Vec<HostAddress>)> {
-        let clocks = read_clocks();
-        let poll = self.state.borrow_mut().duties.as_mut()?.next_poll(clocks)?;
+        let poll = {
+            let state = &mut *self.state.borrow_mut();
+            state.duties.as_mut()?.next_poll(read_clocks())?
+        };
         if let Some(own_reply) = self.apply_duty_poll(&poll) {
             self.apply_duty_reply(own_reply);
         }
@@ -113,12 +115,6 @@
         }
     }
 
-    /// Returns whether the deployment has duties.
-    #[must_use]
-    pub fn has_duties(&self) -> bool {
-        self.state.borrow().duties.is_some()
-    }
-
     /// Returns what to do at the log for the duties.
     #[must_use]
     pub fn next_duty_log_action(&self) -> DutyLogAction {
