--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -323,6 +323,7 @@
         let list = &self.lists[index.min(self.lists.len() - 1)];
         let mut command = Command::new(binary("wisteriapind"));
         command.env("WISTERIAPIN_PEER_SECRET", PEER_SECRET);
+        command.envs(self.plan.daemon_environment.iter().cloned());
         let seed = (index + 1).to_string();
         for (flag, value) in [
             ("--name", daemon_name(index)),
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -83,6 +83,8 @@
     pub log_arguments: Vec<String>,
     /// Further arguments of each daemon.
     pub daemon_arguments: Vec<String>,
+    /// Further environment variables of each daemon, with their values.
+    pub daemon_environment: Vec<(String, String)>,
     /// Puts the fault proxy between the daemons, and between them and the log.
     pub proxied: bool,
     /// Puts the fault proxy between all daemons and each engine, one route per engine.
@@ -103,6 +105,7 @@
             list_lag_ms: 200,
             log_arguments: Vec::new(),
             daemon_arguments: Vec::new(),
+            daemon_environment: Vec::new(),
             proxied: false,
             proxied_engines: false,
         }
