Memory: answers, heads and connections count too, not only request bodies

What callers saw: crowds that don't read their answers, don't end their heads, or combine several of these took a host past its memory, and the process ended.

Cause: an answer left the account when the HTTP library took it, not when it was written. Heads and read buffers were never in it (72 KB and more a connection, 24 KB were assumed). A body that grew was copied, and the heap kept the gaps.

Change: the account moved to a crate of its own, caller-limits, so that wisteriapind can use it; its rules are the same. Answers draw from it until they are written, and a caller that doesn't read loses its connection when memory is short. Heads beyond 8 KiB draw from it. Streams of callers read 4 KiB and write 16 KiB at a time, so that the buffers of the HTTP library don't grow.

--- /dev/null
+++ b/caller-limits/src/connection_table.rs
@@ -0,0 +1,99 @@
+//! Decides which connections of callers are served.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_util::future::{AbortHandle, AbortRegistration, Abortable, Aborted};
+
+use crate::FastMap;
+use crate::connection::Connection;
+use crate::memory_pool::MemoryPool;
+
+type ConnectionNumber = u64;
+
+/// The open connections of a listener.
+#[derive(Debug)]
+pub struct ConnectionTable {
+    max_connections: usize,
+    memory: Option<MemoryPool>,
+    open: RefCell<FastMap<ConnectionNumber, Connection>>,
+    last_number: Cell<ConnectionNumber>,
+}
+
+/// A connection that may be served.
+#[derive(Debug)]
+pub struct AdmittedConnection {
+    connection: Connection,
+    /// Ends the task of the connection when it is closed.
+    registration: AbortRegistration,
+    place: Option<(Rc<ConnectionTable>, ConnectionNumber)>,
+}
+
+impl ConnectionTable {
+    /// Returns a table with this number of places. Long heads draw from `memory`.
+    #[must_use]
+    pub fn new(max_connections: usize, memory: Option<MemoryPool>) -> Rc<Self> {
+        Rc::new(Self {
+            max_connections,
+            memory,
+            open: RefCell::default(),
+            last_number: Cell::new(0),
+        })
+    }
+
+    /// Returns the number of places that are taken.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.open.borrow().is_empty()
+    }
+
+    /// Gives a place to a new connection. Returns `None` if all are taken.
+    #[must_use]
+    pub fn admit(self: &Rc<Self>, now: Instant) -> Option<AdmittedConnection> {
+        if self.len() >= self.max_connections {
+            return None;
+        }
+        let mut admitted = self.admit_without_place(now);
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let connection = admitted.connection.clone();
+        self.open.borrow_mut().insert(number, connection);
+        admitted.place = Some((Rc::clone(self), number));
+        Some(admitted)
+    }
+
+    /// Admits a connection that takes no place.
+    #[must_use]
+    pub fn admit_without_place(&self, now: Instant) -> AdmittedConnection {
+        let (abort, registration) = AbortHandle::new_pair();
+        AdmittedConnection {
+            connection: Connection::new(self.memory.clone(), abort, now),
+            registration,
+            place: None,
+        }
+    }
+}
+
+impl AdmittedConnection {
+    /// Serves the connection to its end, then gives its place back.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Aborted`] if the connection was closed because its caller made no progress.
+    pub async fn serve<F: Future>(
+        self,
+        serve: impl FnOnce(Connection) -> F,
+    ) -> Result<F::Output, Aborted> {
+        let served = Abortable::new(serve(self.connection), self.registration).await;
+        if let Some((table, number)) = self.place {
+            table.open.borrow_mut().remove(&number);
+        }
+        served
+    }
+}
--- a/gateway/src/memory/account.rs
+++ b/caller-limits/src/memory_account.rs
@@ -3,10 +3,13 @@
 //! The load that it answers: many bodies at once, most of which stop short of their end and stay
 //! open. Large request bodies may fill a part of the account, small ones a little more, and the rest
 //! is left to responses, which endpoints have already worked on. When memory is short, the largest
-//! body that makes no progress gives its memory back.
+//! body that makes no progress gives its memory back: one that is received, or an answer that its
+//! caller doesn't read.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
+
+use crate::progress_meter::ProgressMeter;
 
 /// Number of one body in the account.
 pub type HolderNumber = u64;
@@ -17,12 +20,6 @@
 const LARGE_REQUEST_TENTHS: usize = 6;
 /// Size up to which a body counts as small.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
-/// Time after which a body is asked for its progress. Sound endpoints may be silent for about a
-/// second.
-const PROGRESS_TIME: Duration = Duration::from_secs(2);
-/// Bytes that a body must receive in this time while memory is short: 64 kbit/s.
-const MIN_PROGRESS_BYTES: usize = 16 * 1024;
-
 /// What a body belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyUse {
@@ -40,20 +37,37 @@
     Refused,
 }
 
+/// What happens to a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HolderPhase {
+    Receiving,
+    /// Complete and in use, so that it cannot be given up.
+    Complete,
+    /// Being sent to a caller.
+    Delivering,
+}
+
 #[derive(Debug)]
 struct Holder {
     body_use: BodyUse,
     bytes: usize,
-    /// Start of the span in which progress is measured, and the bytes received since.
-    span_start: Instant,
-    span_bytes: usize,
-    /// Whether the last whole span had enough progress.
-    has_progressed: bool,
-    /// Whether the body is complete, so that it cannot be given up.
-    is_complete: bool,
+    meter: ProgressMeter,
+    phase: HolderPhase,
     is_reclaimed: bool,
 }
 
+impl Holder {
+    /// Returns whether a body of this use may take the holder's memory. Bodies of requests don't
+    /// take it from responses that are received: those may have run.
+    fn yields_to(&self, body_use: BodyUse) -> bool {
+        match self.phase {
+            HolderPhase::Receiving => self.body_use == body_use || body_use == BodyUse::Response,
+            HolderPhase::Complete => false,
+            HolderPhase::Delivering => true,
+        }
+    }
+}
+
 /// Memory in use, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct MemoryUsage {
@@ -94,32 +108,33 @@
         let holder = Holder {
             body_use,
             bytes: 0,
-            span_start: now,
-            span_bytes: 0,
-            has_progressed: true,
-            is_complete: false,
+            meter: ProgressMeter::new(now),
+            phase: HolderPhase::Receiving,
             is_reclaimed: false,
         };
         self.holders.insert(self.last_number, holder);
         self.last_number
     }
 
-    /// Records bytes that were received.
+    /// Records bytes that were received or delivered.
     pub fn record_progress(&mut self, number: HolderNumber, bytes: usize, now: Instant) {
         if let Some(holder) = self.holders.get_mut(&number) {
-            holder.span_bytes = holder.span_bytes.saturating_add(bytes);
-            if now.duration_since(holder.span_start) >= PROGRESS_TIME {
-                holder.has_progressed = holder.span_bytes >= MIN_PROGRESS_BYTES;
-                holder.span_start = now;
-                holder.span_bytes = 0;
-            }
+            holder.meter.record(bytes, now);
         }
     }
 
     /// Records that a body is complete.
     pub fn complete(&mut self, number: HolderNumber) {
         if let Some(holder) = self.holders.get_mut(&number) {
-            holder.is_complete = true;
+            holder.phase = HolderPhase::Complete;
+        }
+    }
+
+    /// Records that a body is sent to its caller from now on.
+    pub fn deliver(&mut self, number: HolderNumber, now: Instant) {
+        if let Some(holder) = self.holders.get_mut(&number) {
+            holder.phase = HolderPhase::Delivering;
+            holder.meter = ProgressMeter::new(now);
         }
     }
 
@@ -163,8 +178,7 @@
         }
     }
 
-    /// Returns the largest other body of this use that makes no progress. Bodies of requests don't
-    /// take memory from responses: those may have run.
+    /// Returns the largest other body that makes no progress and yields to this use.
     fn stalled_holder(
         &self,
         number: HolderNumber,
@@ -172,12 +186,11 @@
         now: Instant,
     ) -> Option<HolderNumber> {
         let others = self.holders.iter().filter(|(other, holder)| {
-            let is_open = !holder.is_complete && !holder.is_reclaimed;
             **other != number
-                && is_open
                 && holder.bytes > 0
-                && (holder.body_use == body_use || body_use == BodyUse::Response)
-                && is_stalled(holder, now)
+                && !holder.is_reclaimed
+                && holder.yields_to(body_use)
+                && holder.meter.is_stalled(now)
         });
         let largest = others.max_by_key(|(_, holder)| holder.bytes);
         largest.map(|(number, _)| *number)
@@ -190,6 +203,15 @@
         }
     }
 
+    /// Gives back what a body occupies beyond `bytes`.
+    pub fn shrink(&mut self, number: HolderNumber, bytes: usize) {
+        if let Some(holder) = self.holders.get_mut(&number) {
+            let surplus = holder.bytes.saturating_sub(bytes);
+            holder.bytes -= surplus;
+            *used_by(&mut self.usage, holder.body_use) -= surplus;
+        }
+    }
+
     /// Removes a body and returns the bytes that it occupied.
     pub fn close(&mut self, number: HolderNumber) -> usize {
         let Some(holder) = self.holders.remove(&number) else {
@@ -206,12 +228,3 @@
         BodyUse::Response => &mut usage.response_bytes,
     }
 }
-
-fn is_stalled(holder: &Holder, now: Instant) -> bool {
-    let is_span_over = now.duration_since(holder.span_start) >= PROGRESS_TIME;
-    if is_span_over {
-        holder.span_bytes < MIN_PROGRESS_BYTES
-    } else {
-        !holder.has_progressed
-    }
-}
--- a/http-util/src/write_limiter.rs
+++ b/caller-limits/src/write_limiter.rs
@@ -8,7 +8,7 @@
 
 /// Bytes that are written before the stream's own buffer is flushed. That buffer would otherwise hold
 /// a copy of a whole body, up to 64 MiB.
-const MAX_UNFLUSHED_BYTES: usize = 64 * 1024;
+const MAX_UNFLUSHED_BYTES: usize = 16 * 1024;
 
 /// Counts the bytes that a stream may still hold in its buffer, and flushes it regularly.
 #[derive(Debug, Default)]
--- a/gateway/tests/memory.rs
+++ b/caller-limits/tests/memory_account.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::memory::{BodyUse, MemoryAccount, ReserveOutcome};
+use caller_limits::{BodyUse, MemoryAccount, ReserveOutcome};
 
 const MB: usize = 1024 * 1024;
 
@@ -95,3 +95,46 @@
         ReserveOutcome::Granted
     );
 }
+
+/// Guards against answers that callers don't read and that keep the memory from ordinary requests.
+#[test]
+fn answers_that_are_not_read_give_their_memory_back() {
+    let start = Instant::now();
+    let mut account = MemoryAccount::new(10 * MB);
+    let [unread, read] = [5 * MB, 5 * MB].map(|bytes| {
+        let answer = account.open(BodyUse::Response, start);
+        account.reserve(answer, bytes, start);
+        account.complete(answer);
+        answer
+    });
+    let later = start + Duration::from_secs(3);
+    let request = account.open(BodyUse::Request, later);
+    assert_eq!(
+        account.reserve(request, MB, later),
+        ReserveOutcome::Refused,
+        "complete"
+    );
+    account.deliver(unread, later);
+    account.deliver(read, later);
+    let last = later + Duration::from_secs(3);
+    account.record_progress(read, 64 * 1024, last);
+    assert_eq!(
+        account.reserve(request, MB, last),
+        ReserveOutcome::Reclaiming(unread)
+    );
+    assert_eq!(account.close(unread), 5 * MB);
+    assert_eq!(account.reserve(request, MB, last), ReserveOutcome::Granted);
+}
+
+/// Guards against memory that stays occupied after a body was decoded.
+#[test]
+fn a_body_gives_back_what_it_no_longer_needs() {
+    let now = Instant::now();
+    let mut account = MemoryAccount::new(10 * MB);
+    let body = account.open(BodyUse::Request, now);
+    account.reserve(body, 2 * MB, now);
+    account.shrink(body, MB);
+    account.shrink(body, 3 * MB);
+    assert_eq!(account.usage().request_bytes, MB);
+    assert_eq!(account.close(body), MB);
+}
--- a/gateway/src/edge/accept.rs
+++ b/gateway/src/edge/accept.rs
@@ -1,9 +1,10 @@
 //! Accepts connections and serves HTTP/1.1 on them.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Instant;
 
+use caller_limits::{AnswerBody, Connection, ConnectionTable};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use http::{Request, Response};
@@ -21,36 +22,40 @@
 
 /// Accepts and serves connections until the listener fails.
 ///
-/// Connections beyond `max_connections` open ones are closed without being read. `open_connections`
-/// counts those that have not ended, except for connections that are accepted after the host's stop
-/// gate has opened: the exit does not wait for these.
+/// When all places of `connections` are taken, new ones are closed without being read. Connections that are accepted
+/// after the host's stop gate has opened take no place: the exit does not wait for these.
 pub(crate) async fn serve_connections<H, F>(
     listener: TcpListener,
     edge: Rc<Edge>,
-    max_connections: usize,
-    open_connections: Rc<Cell<usize>>,
+    connections: Rc<ConnectionTable>,
     handler: H,
 ) -> std::io::Result<()>
 where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, Connection) -> F + Clone + 'static,
     F: Future<Output = Response<EdgeBody>> + 'static,
 {
     loop {
         let stream = accept(&listener).await?;
-        if open_connections.get() >= max_connections || stream.set_nodelay(true).is_err() {
+        if stream.set_nodelay(true).is_err() {
             continue;
         }
+        let admitted = if edge.stop_gate.is_open() {
+            Some(connections.admit_without_place(Instant::now()))
+        } else {
+            connections.admit(Instant::now())
+        };
+        let Some(admitted) = admitted else {
+            edge.count("connection_rejected");
+            continue;
+        };
         let edge = Rc::clone(&edge);
         let handler = handler.clone();
-        if edge.stop_gate.is_open() {
-            compio::runtime::spawn(serve_connection(stream, edge, handler)).detach();
-            continue;
-        }
-        open_connections.set(open_connections.get() + 1);
-        let open_connections = Rc::clone(&open_connections);
         compio::runtime::spawn(async move {
-            serve_connection(stream, edge, handler).await;
-            open_connections.set(open_connections.get() - 1);
+            let serving =
+                |connection| serve_connection(stream, Rc::clone(&edge), connection, handler);
+            if admitted.serve(serving).await.is_err() {
+                edge.count("connection_closed");
+            }
         })
         .detach();
     }
@@ -58,20 +63,30 @@
 
 /// Serves one connection. If the host's stop gate opens meanwhile, the connection ends after the
 /// answer in progress.
-async fn serve_connection<H, F>(stream: TcpStream, edge: Rc<Edge>, handler: H)
-where
-    H: Fn(Request<Incoming>) -> F + 'static,
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    edge: Rc<Edge>,
+    connection: Connection,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, Connection) -> F + 'static,
     F: Future<Output = Response<EdgeBody>> + 'static,
 {
+    let stream = LingeringStream::new(stream, connection.clone());
     let service = service_fn(move |request| {
-        let reply = handler(request);
-        async move { Ok::<_, std::convert::Infallible>(reply.await) }
+        connection.begin_body();
+        let reply = handler(request, connection.clone());
+        let connection = connection.clone();
+        async move {
+            let reply = reply.await;
+            Ok::<_, std::convert::Infallible>(reply.map(|body| AnswerBody::new(body, connection)))
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(edge.caller_head_timeout())
         .max_buf_size(HEAD_BUFFER_BYTES)
-        .serve_connection(LingeringStream::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     // Errors of a connection need no handling: its request was cancelled when the handler's future
     // was dropped.
--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use caller_limits::{BodyUse, MemoryHold, ReadFailure, read_whole_body};
 use compact_str::CompactString;
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -11,7 +12,6 @@
 use http_util::head_bytes;
 use hyper::body::Incoming;
 
-use super::body_reader::{MemoryHold, ReadFailure, read_whole_body};
 use super::forward::{ForwardError, ForwardJob};
 use super::headers;
 use super::in_flight::InFlightGuard;
@@ -20,7 +20,6 @@
 use crate::catalog::{CallerLimits, RouteEntry, RoutingTable, WorkspaceEntry};
 use crate::ids::{ContentHash, hash_content};
 use crate::limits::UsageVerdict;
-use crate::memory::BodyUse;
 
 /// Time after the start of the shutdown for which new requests are still accepted. Callers need it
 /// to learn of another host. Later requests could not be finished within the grace period.
@@ -133,7 +132,7 @@
     body: Incoming,
     limits: &CallerLimits,
 ) -> Result<(Bytes, MemoryHold), ForwardError> {
-    let reading = read_whole_body(edge, body, BodyUse::Request, limits.max_body_bytes);
+    let reading = read_whole_body(&edge.memory, body, BodyUse::Request, limits.max_body_bytes);
     let reading = compio::time::timeout(limits.idle_timeout, reading);
     let read = edge
         .stop_gate
@@ -150,7 +149,11 @@
                 retry_after: Some(MEMORY_RETRY_AFTER),
             });
         }
-        Ok(Err(ReadFailure::Reclaimed)) | Err(_) => EdgeFault::BodyTooSlow,
+        Ok(Err(ReadFailure::Reclaimed)) => {
+            edge.count("memory_reclaimed");
+            EdgeFault::BodyTooSlow
+        }
+        Err(_) => EdgeFault::BodyTooSlow,
     };
     Err(fault.into())
 }
--- a/gateway/src/edge/body.rs
+++ b/gateway/src/edge/body.rs
@@ -3,24 +3,19 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
+use caller_limits::HeldBytes;
 use futures_util::Stream;
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::body_reader::MemoryHold;
-
 /// Events of a stream. An error closes the connection of the caller.
 pub(crate) type EventStream = Pin<Box<dyn Stream<Item = std::io::Result<Bytes>>>>;
 
 /// Body of a reply to a caller.
 pub(crate) enum EdgeBody {
-    /// A complete body, `None` once it is sent or if it is empty.
-    Complete(Option<Bytes>),
-    /// A complete body whose memory stays in the account until the HTTP library has taken it.
-    Held {
-        bytes: Option<Bytes>,
-        _memory: MemoryHold,
-    },
+    /// A complete body, `None` once it is sent or if it is empty. Its memory stays in the account
+    /// until it is written.
+    Complete(Option<HeldBytes>),
     /// A stream of events.
     Events(EventStream),
 }
@@ -30,35 +25,39 @@
     pub fn empty() -> Self {
         Self::Complete(None)
     }
+
+    /// Returns a body that this host has made itself.
+    pub fn complete(bytes: impl Into<Bytes>) -> Self {
+        Self::Complete(Some(bytes.into().into()))
+    }
 }
 
 impl Body for EdgeBody {
-    type Data = Bytes;
+    type Data = HeldBytes;
     type Error = std::io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+    ) -> Poll<Option<Result<Frame<HeldBytes>, std::io::Error>>> {
         match &mut *self {
-            Self::Complete(bytes) | Self::Held { bytes, .. } => {
-                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
-            }
+            Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Events(events) => events
                 .as_mut()
                 .poll_next(context)
-                .map(|next| next.map(|bytes| bytes.map(Frame::data))),
+                .map(|next| next.map(|bytes| bytes.map(|bytes| Frame::data(bytes.into())))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(None) | Self::Held { bytes: None, .. })
+        matches!(self, Self::Complete(None))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(bytes) | Self::Held { bytes, .. } => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            Self::Complete(bytes) => {
+                let length = bytes.as_ref().map_or(0, Buf::remaining);
+                SizeHint::with_exact(length as u64)
             }
             Self::Events(_) => SizeHint::default(),
         }
--- a/gateway/src/edge/directory.rs
+++ b/gateway/src/edge/directory.rs
@@ -58,7 +58,7 @@
     match path {
         METRICS_PATH => {
             let text = edge.metrics.render(&edge.gauges());
-            let mut reply = Response::new(EdgeBody::Complete(Some(Bytes::from(text))));
+            let mut reply = Response::new(EdgeBody::complete(text));
             let content_type = HeaderValue::from_static(METRICS_CONTENT_TYPE);
             reply
                 .headers_mut()
@@ -76,7 +76,7 @@
 }
 
 fn json_reply(body: Bytes) -> Response<EdgeBody> {
-    let mut reply = Response::new(EdgeBody::Complete(Some(body)));
+    let mut reply = Response::new(EdgeBody::complete(body));
     reply.headers_mut().insert(
         http::header::CONTENT_TYPE,
         http::HeaderValue::from_static("application/json"),
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use caller_limits::{BodyUse, Connection, HeldBytes, MemoryHold, ReadFailure, read_whole_body};
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 
 use super::admit::{admit_request, total_tokens};
 use super::body::EdgeBody;
-use super::body_reader::{MemoryHold, ReadFailure, read_whole_body};
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
@@ -22,7 +22,6 @@
 use super::state::Edge;
 use crate::catalog::{RequestKind, RouteEntry, WorkspaceEntry};
 use crate::ids::{ContentHash, EndpointId, ServiceName, TierNumber, hash_name};
-use crate::memory::BodyUse;
 use crate::scheduler::{RefusalReason, RunEnd, WorkItem};
 
 /// Maximum size of a response that is buffered until it is complete.
@@ -152,13 +151,17 @@
 pub(crate) async fn forward_request(
     edge: Rc<Edge>,
     request: Request<Incoming>,
+    connection: Connection,
 ) -> Response<EdgeBody> {
     let arrived = Instant::now();
     let id: CompactString = headers::text(request.headers(), &edge.dialect.headers.request_id)
         .unwrap_or("-")
         .into();
     let mut reply = match admit_request(&edge, request, &id, arrived).await {
-        Ok(job) => run_job(job).await,
+        Ok(job) => {
+            connection.begin_answer();
+            run_job(job).await
+        }
         Err(error) => refuse(&edge, &id, arrived, &error),
     };
     if edge.state.borrow().leaving_since.is_some() {
@@ -193,7 +196,9 @@
     let answering = Box::pin(answer_within_deadline(&mut job));
     let outcome = edge.stop_gate.run_until_open(answering).await;
     let error = match outcome {
-        Some(Ok(EndpointReply::Stream(exchange))) => return relay_events(job, *exchange),
+        Some(Ok(EndpointReply::Stream(exchange))) => {
+            return relay_events(job, *exchange);
+        }
         Some(Ok(EndpointReply::Complete(reply))) => {
             log_request_end(&job, reply.status(), "answered");
             return reply;
@@ -418,10 +423,11 @@
         exchange.run.has_succeeded = parts.status.is_success();
         exchange.connection.allow_body(MAX_RESPONSE_BYTES);
         let edge = Rc::clone(&job.edge);
-        let reading = read_whole_body(&edge, body, BodyUse::Response, MAX_RESPONSE_BYTES);
+        let reading = read_whole_body(&edge.memory, body, BodyUse::Response, MAX_RESPONSE_BYTES);
         let collected = match wait_or_fail_over(job, body_limit(job), reading).await {
             AnswerWait::Ended(Ok(collected)) => Ok(collected),
             AnswerWait::Ended(Err(ReadFailure::Reclaimed)) => {
+                job.edge.count("memory_reclaimed");
                 Err((RunEnd::Stalled, DispatchFailure::MayHaveRun))
             }
             AnswerWait::Ended(Err(_)) => Err((RunEnd::Disconnected, DispatchFailure::MayHaveRun)),
@@ -471,10 +477,7 @@
     if job.method == Method::HEAD || bytes.is_empty() {
         return EdgeBody::empty();
     }
-    EdgeBody::Held {
-        bytes: Some(bytes),
-        _memory: memory,
-    }
+    EdgeBody::Complete(Some(HeldBytes::new(bytes, memory)))
 }
 
 /// Returns whether the request's stream may be resumed at another endpoint.
--- a/gateway/src/edge/lingering_stream.rs
+++ b/gateway/src/edge/lingering_stream.rs
@@ -4,9 +4,9 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
+use caller_limits::{CallerStream, Connection};
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use http_util::WriteLimiter;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
 /// Maximum time for which a connection is read after its last answer was written.
@@ -22,20 +22,18 @@
 /// with unread bytes would reset the connection, and the peer could lose the answer. A connection
 /// that was idle is closed at once: a request that arrives then must not be read.
 pub(crate) struct LingeringStream {
-    stream: HyperStream<TcpStream>,
+    stream: CallerStream<HyperStream<TcpStream>>,
     /// Time at which bytes were last written.
     written: Option<Instant>,
-    limiter: WriteLimiter,
     /// Set once the sending side is closed.
     timer: Option<LingerTimer>,
 }
 
 impl LingeringStream {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, connection: Connection) -> Self {
         Self {
-            stream: HyperStream::new_plain(stream),
+            stream: CallerStream::new(HyperStream::new_plain(stream), connection),
             written: None,
-            limiter: WriteLimiter::default(),
             timer: None,
         }
     }
@@ -53,7 +51,8 @@
         let mut bytes = [0; DISCARD_BYTES];
         for _ in 0..MAX_READS_PER_TURN {
             let mut buffer = ReadBuf::new(&mut bytes);
-            let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer.unfilled()));
+            let stream = Pin::new(self.stream.inner_mut());
+            let read = ready!(stream.poll_read(context, buffer.unfilled()));
             if read.is_err() || buffer.filled().is_empty() {
                 return Poll::Ready(());
             }
@@ -79,9 +78,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        let this = &mut *self;
-        this.written = Some(Instant::now());
-        this.limiter.poll_write(&mut this.stream, context, bytes)
+        self.written = Some(Instant::now());
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -89,10 +87,8 @@
         context: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let this = &mut *self;
-        this.written = Some(Instant::now());
-        this.limiter
-            .poll_write_vectored(&mut this.stream, context, parts)
+        self.written = Some(Instant::now());
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/gateway/src/edge/metrics.rs
+++ b/gateway/src/edge/metrics.rs
@@ -14,7 +14,7 @@
 use crate::duties::DutyStatus;
 use crate::ids::TierNumber;
 use crate::membership::FeedTopic;
-use crate::memory::MemoryUsage;
+use caller_limits::MemoryUsage;
 
 /// Upper bound of the first histogram bucket. Each bound is twice the one before, so that the
 /// buckets cover 5 ms to 41 s, the longest time limit of a route.
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -6,7 +6,6 @@
 mod admit;
 mod answer_signals;
 mod body;
-mod body_reader;
 mod catalog_changes;
 mod connection_pool;
 mod datagrams;
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 
 use super::body::EdgeBody;
@@ -123,7 +122,7 @@
 pub(crate) fn fault_reply(fault: EdgeFault, retry_after: Option<Duration>) -> Response<EdgeBody> {
     let (code, status, reason) = fault.code_status_reason();
     let body = format!("{{\"code\":{code},\"reason\":\"{reason}\"}}");
-    let mut reply = Response::new(EdgeBody::Complete(Some(Bytes::from(body))));
+    let mut reply = Response::new(EdgeBody::complete(body));
     *reply.status_mut() = status;
     let headers = reply.headers_mut();
     headers.insert(
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -1,9 +1,9 @@
 //! Starts the listeners and background tasks of a host, and shuts them down.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use caller_limits::ConnectionTable;
 use compio::net::{TcpListener, UdpSocket};
 
 use super::accept::serve_connections;
@@ -65,13 +65,13 @@
         readiness_reply,
     );
     let handler_edge = Rc::clone(&edge);
-    let caller_connections = Rc::new(Cell::new(0));
+    let caller_connections =
+        ConnectionTable::new(settings.max_caller_connections, Some(edge.memory.clone()));
     let server = serve_connections(
         caller_listener,
         Rc::clone(&edge),
-        settings.max_caller_connections,
         Rc::clone(&caller_connections),
-        move |request| forward_request(Rc::clone(&handler_edge), request),
+        move |request, connection| forward_request(Rc::clone(&handler_edge), request, connection),
     );
     compio::runtime::spawn(async move {
         if let Err(error) = server.await {
@@ -97,12 +97,12 @@
     reply: ReplyFunction,
 ) {
     let edge = Rc::clone(edge);
+    let connections = ConnectionTable::new(max_connections, Some(edge.memory.clone()));
     let server = serve_connections(
         listener,
         Rc::clone(&edge),
-        max_connections,
-        Rc::new(Cell::new(0)),
-        move |request| {
+        connections,
+        move |request, _| {
             let response = reply(&edge, &request);
             async move { response }
         },
@@ -126,7 +126,7 @@
 /// Announces that this host is leaving, then waits until its requests are answered. Those that are
 /// left at the end of the grace period get final answers. Connections are closed before the process
 /// exits: the last answers are written only when these have ended.
-async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket, connections: &Cell<usize>) {
+async fn drain_and_leave(edge: &Rc<Edge>, socket: &UdpSocket, connections: &ConnectionTable) {
     let stopping_since = Instant::now();
     log::info!(in_flight = edge.in_flight.len(); "edge: stopping");
     edge.state.borrow_mut().leaving_since = Some(stopping_since);
@@ -139,9 +139,9 @@
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     edge.stop_gate.open();
-    while connections.get() > 0 && stopping_since.elapsed() < max_wait {
+    while !connections.is_empty() && stopping_since.elapsed() < max_wait {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let cut = edge.in_flight.log_cut();
-    log::info!(cut = cut, connections = connections.get(), took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
+    log::info!(cut = cut, connections = connections.len(), took_ms = stopping_since.elapsed().as_millis(); "edge: stopped");
 }
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use caller_limits::MemoryPool;
 use futures_channel::oneshot;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,7 +27,6 @@
 use crate::membership::{
     FeedPositions, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, RelayPlan, UpdateQueue,
 };
-use crate::memory::{HolderNumber, MemoryAccount};
 use crate::quarantine::QuarantineTable;
 use crate::rollouts::RolloutController;
 use crate::scheduler::{RunEnd, SchedulerEffect, SchedulerEvent, SchedulerState};
@@ -74,10 +74,6 @@
     /// Whether a feed position has changed since the last heartbeat.
     pub feed_positions_changed: bool,
     pub(super) removals: RemovalHold,
-    /// Memory of the bodies of requests and responses.
-    pub(super) memory: MemoryAccount,
-    /// Ends the reading of bodies that have to give their memory back.
-    pub(super) reclaim_signals: FastMap<HolderNumber, oneshot::Sender<()>>,
     /// Requests that wait for a decision of the scheduler.
     pending_placements: FastMap<TicketNumber, oneshot::Sender<Placement>>,
     last_ticket: TicketNumber,
@@ -104,6 +100,8 @@
     pub(crate) archive: Rc<dyn CatalogArchive>,
     pub(crate) state: RefCell<EdgeState>,
     pub(crate) pool: ConnectionPool,
+    /// Memory of the bodies of requests and responses, and of long heads.
+    pub(crate) memory: MemoryPool,
     pub(crate) metrics: EdgeMetrics,
     /// Requests whose responses are not complete.
     pub(crate) in_flight: InFlightTable,
@@ -156,8 +154,6 @@
             summary_number: 0,
             feed_positions_changed: false,
             removals: RemovalHold::default(),
-            memory: MemoryAccount::new(settings.body_memory_bytes),
-            reclaim_signals: FastMap::default(),
             pending_placements: FastMap::default(),
             last_ticket: 0,
             heartbeat_number: 0,
@@ -171,6 +167,7 @@
         let cold_sends_from = SchedulerEvent::ColdSendsFrom(now + DISCOVERY_TIME);
         state.scheduler.reduce(cold_sends_from, now);
         Rc::new(Self {
+            memory: MemoryPool::new(settings.body_memory_bytes),
             settings,
             dialect,
             archive,
@@ -310,7 +307,7 @@
             waiting: state.scheduler.waiting_by_tier(),
             feed_ages: state.feed_positions.ages(now),
             signals: state.scheduler.signal_counts(now),
-            memory: state.memory.usage(),
+            memory: self.memory.usage(),
             duties: state
                 .duties
                 .as_ref()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod ids;
 pub mod limits;
 pub mod membership;
-pub mod memory;
 pub mod quarantine;
 mod rendezvous;
 pub mod rollouts;
--- a/http-util/src/keep_alive.rs
+++ b/http-util/src/keep_alive.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use caller_limits::WriteLimiter;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
@@ -18,8 +19,6 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::write_limiter::WriteLimiter;
-
 /// Time after which unacknowledged data breaks a connection. There is no other sign that the peer
 /// has lost power or that the network is partitioned.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/http-util/src/lib.rs
+++ b/http-util/src/lib.rs
@@ -6,7 +6,6 @@
 mod client;
 mod keep_alive;
 mod server;
-mod write_limiter;
 
 pub use client::{ByteStream, ClientError, DialedConnection, LineReader, request_json};
 pub use keep_alive::{KeepAliveConnection, SendFailure};
@@ -14,4 +13,3 @@
     BodyError, BodySender, HttpReply, ServerLimits, accept, body_channel, closed_reply,
     empty_reply, head_bytes, json_reply, read_body, serve_http,
 };
-pub use write_limiter::WriteLimiter;
