Connections: silent callers make room for new ones

What callers saw: 200 connections that stop short or are just open took all places of a host; all others were closed without being read, until the idle time-out of the configuration (15 s and more).

Cause: a place was given back only when its connection ended by itself. The directory had as many places again, so that both together took more descriptors than there are sockets.

Change: when all places are taken, the connection closes whose caller has sent and taken less than 16 KiB in 2 s for longest. Callers that wait for their answers keep their places.

--- a/caller-limits/src/connection.rs
+++ b/caller-limits/src/connection.rs
@@ -111,6 +111,17 @@
         }
     }
 
+    /// Returns since when the caller has made no progress, if this host waits for it.
+    pub(crate) fn stalled_since(&self, now: Instant) -> Option<Instant> {
+        let waits_for_caller = self.0.is_write_blocked.get()
+            || match self.0.phase.get() {
+                ConnectionPhase::Head | ConnectionPhase::Body => true,
+                ConnectionPhase::Answer => false,
+            };
+        let meter = self.0.meter.get();
+        (waits_for_caller && meter.is_stalled(now)).then(|| meter.span_start())
+    }
+
     fn restart_meter(&self) {
         self.0.meter.set(ProgressMeter::new(Instant::now()));
     }
--- a/caller-limits/src/connection_table.rs
+++ b/caller-limits/src/connection_table.rs
@@ -1,4 +1,8 @@
-//! Decides which connections of callers are served.
+//! Decides which connections of callers stay open.
+//!
+//! The load that it answers: more connections than a process has room for, most of which are silent
+//! or stop short and stay open. When all places are taken, the caller that has made no progress for
+//! the longest time loses its connection.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -53,11 +57,14 @@
         self.open.borrow().is_empty()
     }
 
-    /// Gives a place to a new connection. Returns `None` if all are taken.
+    /// Gives a place to a new connection. Returns `None` if all are taken by callers that make
+    /// progress or wait for their answers.
     #[must_use]
     pub fn admit(self: &Rc<Self>, now: Instant) -> Option<AdmittedConnection> {
         if self.len() >= self.max_connections {
-            return None;
+            let (number, _) = self.longest_stalled(now)?;
+            let removed = self.open.borrow_mut().remove(&number);
+            removed?.close();
         }
         let mut admitted = self.admit_without_place(now);
         let number = self.last_number.get() + 1;
@@ -78,6 +85,14 @@
             place: None,
         }
     }
+
+    fn longest_stalled(&self, now: Instant) -> Option<(ConnectionNumber, Instant)> {
+        let open = self.open.borrow();
+        let stalled = open
+            .iter()
+            .filter_map(|(number, connection)| Some((*number, connection.stalled_since(now)?)));
+        stalled.min_by_key(|(_, since)| *since)
+    }
 }
 
 impl AdmittedConnection {
--- a/caller-limits/src/progress_meter.rs
+++ b/caller-limits/src/progress_meter.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns the start of the current span.
+    pub fn span_start(&self) -> Instant {
+        self.span_start
+    }
+
     fn is_span_over(&self, now: Instant) -> bool {
         now.duration_since(self.span_start) >= PROGRESS_TIME
     }
--- a/gateway/src/edge/accept.rs
+++ b/gateway/src/edge/accept.rs
@@ -22,7 +22,8 @@
 
 /// Accepts and serves connections until the listener fails.
 ///
-/// When all places of `connections` are taken, new ones are closed without being read. Connections that are accepted
+/// When all places of `connections` are taken, connections that make no progress are closed for new
+/// ones; if all make progress, new ones are closed without being read. Connections that are accepted
 /// after the host's stop gate has opened take no place: the exit does not wait for these.
 pub(crate) async fn serve_connections<H, F>(
     listener: TcpListener,
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -46,7 +46,7 @@
         spawn_replies(
             &edge,
             listener,
-            settings.max_caller_connections,
+            settings.max_directory_connections,
             directory_reply,
         );
     }
--- a/gateway/src/edge/settings.rs
+++ b/gateway/src/edge/settings.rs
@@ -41,6 +41,8 @@
     pub rollout_exposure: ExposureBound,
     /// Maximum number of open connections of callers.
     pub max_caller_connections: usize,
+    /// Maximum number of open connections to the directory, which answers at once.
+    pub max_directory_connections: usize,
     /// Memory that bodies of requests and responses may occupy together, in bytes.
     pub body_memory_bytes: usize,
     /// Second sends of slow requests.
