Streams: the time limit also ends a stream that its caller doesn't read

What callers saw: 12 callers that open a stream and don't read it kept all slots of an endpoint for as long as they stayed; ordinary requests were refused.

Cause: the time limit of a stream was only looked at when the HTTP library asked for the next event, and it doesn't while the caller takes none.

Change: a timer closes the connection 250 ms after the time limit, unless the stream has ended.

Measured: 12 such streams at an endpoint of 8 slots: an ordinary request is answered (none within 10 s before).

--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use caller_limits::Connection;
+use compio::runtime::JoinHandle;
 use futures_util::stream;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
@@ -28,6 +30,9 @@
 /// Minimum gap after which another endpoint is requested.
 const MIN_STALL: Duration = Duration::from_millis(1_200);
 
+/// Time after the time limit of a request at which a stream ends that its caller doesn't read.
+const UNREAD_MARGIN: Duration = Duration::from_millis(250);
+
 /// A stream in progress. Dropping it closes the connection to the endpoint, which then stops
 /// working on the request.
 struct StreamRelay {
@@ -38,6 +43,8 @@
     last_id: Option<u64>,
     /// Bytes after the last complete event of a stream that has ended.
     remainder: Option<Bytes>,
+    /// Closes the connection of a caller that doesn't read the stream.
+    _closer: JoinHandle<()>,
 }
 
 /// The endpoint from which the stream is currently read.
@@ -63,19 +70,30 @@
 }
 
 /// Builds the reply that relays the endpoint's events.
-pub(crate) fn relay_events(job: ForwardJob, exchange: EndpointExchange) -> Response<EdgeBody> {
+pub(crate) fn relay_events(
+    job: ForwardJob,
+    exchange: EndpointExchange,
+    connection: Connection,
+) -> Response<EdgeBody> {
     let (source, parts) = StreamSource::new(exchange);
     let resumed_from = headers::text(
         &job.headers,
         &http::HeaderName::from_static("last-event-id"),
     )
     .and_then(|text| text.parse().ok());
+    let time_left = job.deadline.saturating_duration_since(Instant::now());
+    let closer = compio::runtime::spawn(async move {
+        // The time limit itself is only noticed while the caller reads.
+        compio::time::sleep(time_left + UNREAD_MARGIN).await;
+        connection.close();
+    });
     let state = StreamRelay {
         job,
         source: Some(source),
         splitter: EventSplitter::default(),
         last_id: resumed_from,
         remainder: None,
+        _closer: closer,
     };
     let events = stream::try_unfold(state, |state| async move { next_events(state).await });
     let mut reply = Response::new(EdgeBody::Events(Box::pin(events)));
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -160,7 +160,7 @@
     let mut reply = match admit_request(&edge, request, &id, arrived).await {
         Ok(job) => {
             connection.begin_answer();
-            run_job(job).await
+            run_job(job, connection).await
         }
         Err(error) => refuse(&edge, &id, arrived, &error),
     };
@@ -185,7 +185,7 @@
 }
 
 /// Runs an admitted request within its time limit and the grace period of a shutdown.
-async fn run_job(mut job: ForwardJob) -> Response<EdgeBody> {
+async fn run_job(mut job: ForwardJob, connection: Connection) -> Response<EdgeBody> {
     let edge = Rc::clone(&job.edge);
     {
         let state = &mut *edge.state.borrow_mut();
@@ -197,7 +197,7 @@
     let outcome = edge.stop_gate.run_until_open(answering).await;
     let error = match outcome {
         Some(Ok(EndpointReply::Stream(exchange))) => {
-            return relay_events(job, *exchange);
+            return relay_events(job, *exchange, connection);
         }
         Some(Ok(EndpointReply::Complete(reply))) => {
             log_request_end(&job, reply.status(), "answered");
