Memory: a body that came fast and then stopped counts as stalled

What callers saw: bodies that send 16 KiB or more at once and then stop were never given up while memory or places were short; ordinary callers waited for the idle time-out.

Cause: progress was judged by the bytes since the last look, however long ago that was. After a fast start no further bytes came, so that look was the last.

Change: without any byte in a whole span of 2 s a peer has stalled.

--- a/caller-limits/src/progress_meter.rs
+++ b/caller-limits/src/progress_meter.rs
@@ -37,6 +37,10 @@
     }
 
     pub fn is_stalled(&self, now: Instant) -> bool {
+        if now.duration_since(self.span_start) >= 2 * PROGRESS_TIME {
+            // Nothing came in a whole span: recording would have started a new one.
+            return true;
+        }
         if self.is_span_over(now) {
             self.span_bytes < MIN_PROGRESS_BYTES
         } else {
--- a/caller-limits/tests/memory_account.rs
+++ b/caller-limits/tests/memory_account.rs
@@ -138,3 +138,24 @@
     assert_eq!(account.usage().request_bytes, MB);
     assert_eq!(account.close(body), MB);
 }
+
+/// Guards against a body that came fast at first, then stopped, and is never given up.
+#[test]
+fn a_body_that_stops_after_a_fast_start_gives_its_memory_back() {
+    let start = Instant::now();
+    let mut account = MemoryAccount::new(10 * MB);
+    let stopped = account.open(BodyUse::Request, start);
+    account.reserve(stopped, 6 * MB, start);
+    account.record_progress(stopped, 6 * MB, start);
+    let body = account.open(BodyUse::Request, start);
+    let outcomes = [1, 3, 5].map(|seconds| {
+        let now = start + Duration::from_secs(seconds);
+        account.reserve(body, MB, now)
+    });
+    let expected = [
+        ReserveOutcome::Refused,
+        ReserveOutcome::Refused,
+        ReserveOutcome::Reclaiming(stopped),
+    ];
+    assert_eq!(outcomes, expected);
+}
