Daemon: bodies, answers and connections of callers within the memory of the host

Callers that only stayed connected kept all places for a minute.

Cause: each body was bounded alone. Frames of a body kept whole read buffers. Requests that wait kept their prompts, results of calls were kept for a minute, and answers that aren't read went into a write buffer of up to 64 MiB a connection.

Change: wisteriapind uses the account and the connection table of caller-limits, in http-util's server. A body draws from the account while it is read, and its text until the request is gone (HeldText); results of services and what is sent to them draw from it too. Without memory a request is refused with 1311 (not run); a stalled body gets 1103.

--- a/caller-limits/src/lib.rs
+++ b/caller-limits/src/lib.rs
@@ -1,6 +1,7 @@
 //! Bounds what callers that aren't controlled occupy in a process. `docs/design/memory.md` describes
 //! the design.
 //!
+//! - `MemoryPlan` divides the memory of a host.
 //! - `MemoryAccount` decides, without a network, which bodies may grow and which give their memory
 //!   back; `MemoryPool` shares it, and `read_whole_body`, `HeldBytes` and `HeldText` draw from it.
 //! - `ConnectionTable` decides which connections stay open, and `CallerStream` tells it of their
@@ -15,6 +16,7 @@
 mod held_bytes;
 mod held_text;
 mod memory_account;
+mod memory_plan;
 mod memory_pool;
 mod progress_meter;
 mod write_limiter;
@@ -27,6 +29,7 @@
 pub use held_bytes::HeldBytes;
 pub use held_text::HeldText;
 pub use memory_account::{BodyUse, HolderNumber, MemoryAccount, MemoryUsage, ReserveOutcome};
+pub use memory_plan::MemoryPlan;
 pub use memory_pool::{MemoryHold, MemoryPool};
 pub use write_limiter::WriteLimiter;
 
--- a/http-util/src/client.rs
+++ b/http-util/src/client.rs
@@ -4,14 +4,16 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
+use caller_limits::{BodyUse, MemoryHold, MemoryPool, ReadFailure, read_whole_body};
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use snafu::{ResultExt, Snafu};
 
+use crate::keep_alive::BoundedStream;
+
 /// Error of a failed call. Only `Connect` guarantees that no byte of the request was sent.
 #[derive(Debug, Snafu)]
 pub enum ClientError {
@@ -50,7 +52,7 @@
             .await
             .context(ConnectSnafu { address })?;
         stream.set_nodelay(true).context(ConnectSnafu { address })?;
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let (sender, connection) = http1::handshake(BoundedStream::without_limit(stream))
             .await
             .context(BrokenSnafu { address })?;
         compio::runtime::spawn(async move {
@@ -115,6 +117,20 @@
         }
     }
 
+    /// Reads the rest of the body up to a limit, into memory that is drawn from an account.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is truncated or longer than the limit, or makes no progress while memory is
+    /// short.
+    pub async fn read_held(
+        self,
+        memory: &MemoryPool,
+        limit_bytes: usize,
+    ) -> Result<(Bytes, MemoryHold), ReadFailure> {
+        read_whole_body(memory, self.body, BodyUse::Response, limit_bytes).await
+    }
+
     /// Reads the rest of the body up to a limit.
     ///
     /// # Errors
--- a/http-util/src/keep_alive.rs
+++ b/http-util/src/keep_alive.rs
@@ -49,7 +49,7 @@
 /// Stream that limits the number of bytes that may be read, and yields to other tasks regularly.
 /// Otherwise an endless series of interim responses or an endless chunk size line would block the
 /// thread that serves all connections.
-struct BoundedStream {
+pub(crate) struct BoundedStream {
     stream: HyperStream<TcpStream>,
     remaining_bytes: Rc<Cell<usize>>,
     buffer: Vec<u8>,
@@ -58,6 +58,23 @@
     limiter: WriteLimiter,
 }
 
+impl BoundedStream {
+    fn new(stream: TcpStream, remaining_bytes: Rc<Cell<usize>>) -> Self {
+        Self {
+            stream: HyperStream::new_plain(stream),
+            remaining_bytes,
+            buffer: Vec::new(),
+            turn_bytes: 0,
+            limiter: WriteLimiter::default(),
+        }
+    }
+
+    /// Returns a stream from which any number of bytes may be read.
+    pub fn without_limit(stream: TcpStream) -> Self {
+        Self::new(stream, Rc::new(Cell::new(usize::MAX)))
+    }
+}
+
 impl Read for BoundedStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -149,13 +166,7 @@
         let remaining_bytes = Rc::new(Cell::new(0));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(BoundedStream {
-                stream: HyperStream::new_plain(stream),
-                remaining_bytes: Rc::clone(&remaining_bytes),
-                buffer: Vec::new(),
-                turn_bytes: 0,
-                limiter: WriteLimiter::default(),
-            })
+            .handshake(BoundedStream::new(stream, Rc::clone(&remaining_bytes)))
             .await
             .map_err(std::io::Error::other)?;
         let driver = compio::runtime::spawn(async move {
--- a/http-util/src/lib.rs
+++ b/http-util/src/lib.rs
@@ -10,6 +10,7 @@
 pub use client::{ByteStream, ClientError, DialedConnection, LineReader, request_json};
 pub use keep_alive::{KeepAliveConnection, SendFailure};
 pub use server::{
-    BodyError, BodySender, HttpReply, ServerLimits, accept, body_channel, closed_reply,
-    empty_reply, head_bytes, json_reply, read_body, serve_http,
+    BodyError, BodySender, HttpReply, ReplyBody, ServerLimits, accept, body_channel, closed_reply,
+    empty_reply, head_bytes, held_json_reply, json_reply, read_body, serve_http,
+    serve_http_with_memory,
 };
--- a/http-util/src/server.rs
+++ b/http-util/src/server.rs
@@ -1,28 +1,26 @@
 //! Serves HTTP/1.1 connections with limits on connections, header size and idle time.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
+use caller_limits::{AnswerBody, CallerStream, Connection, ConnectionTable, HeldBytes, MemoryPool};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use http::{Response, StatusCode};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Frame, Incoming};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::service::service_fn;
 use serde::Serialize;
 use snafu::Snafu;
 
 /// Response whose body is either complete or streamed.
-pub type HttpReply = Response<UnsyncBoxBody<Bytes, Infallible>>;
+pub type HttpReply = Response<ReplyBody>;
 
 /// Sending side of a streamed response body. A failed send means that the peer has disconnected.
 pub type BodySender = mpsc::Sender<Bytes>;
@@ -82,20 +80,42 @@
     F: Future<Output = HttpReply> + 'static,
     R: Fn() -> Option<Bytes> + 'static,
 {
-    let open_connections = Rc::new(Cell::new(0_usize));
+    let connected = move |request, _: Connection| handler(request);
+    serve_http_with_memory(listener, limits, None, connected, rejected).await
+}
+
+/// Does the same, and tells `handler` of the connection on which a request came. Long heads draw from
+/// `memory`. When all connections are taken, one whose caller makes no progress is closed for a new
+/// one.
+///
+/// # Errors
+///
+/// Returns the error of the listening socket.
+pub async fn serve_http_with_memory<H, F, R>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    memory: Option<MemoryPool>,
+    handler: H,
+    rejected: R,
+) -> std::io::Result<()>
+where
+    H: Fn(http::Request<Incoming>, Connection) -> F + Clone + 'static,
+    F: Future<Output = HttpReply> + 'static,
+    R: Fn() -> Option<Bytes> + 'static,
+{
+    let connections = ConnectionTable::new(limits.max_connections, memory);
     loop {
         let stream = accept(&listener).await?;
-        if open_connections.get() >= limits.max_connections {
+        let Some(admitted) = connections.admit(Instant::now()) else {
             let reply = rejected();
             compio::runtime::spawn(reject_connection(stream, reply)).detach();
             continue;
-        }
-        open_connections.set(open_connections.get() + 1);
+        };
         let handler = handler.clone();
-        let open_connections = Rc::clone(&open_connections);
         compio::runtime::spawn(async move {
-            serve_connection(stream, limits, handler).await;
-            open_connections.set(open_connections.get() - 1);
+            let serving = |connection| serve_connection(stream, limits, connection, handler);
+            // A connection that was closed has nothing left to do.
+            let _ = admitted.serve(serving).await;
         })
         .detach();
     }
@@ -140,23 +160,30 @@
     let _ = stream.write_all(message).await;
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, limits: ServerLimits, handler: H)
-where
-    H: Fn(http::Request<Incoming>) -> F + 'static,
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    connection: Connection,
+    handler: H,
+) where
+    H: Fn(http::Request<Incoming>, Connection) -> F + 'static,
     F: Future<Output = HttpReply> + 'static,
 {
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let stream = CallerStream::new(HyperStream::new_plain(stream), connection.clone());
     let service = service_fn(move |request| {
-        let reply = handler(request);
+        connection.begin_body();
+        let reply = handler(request, connection.clone());
+        let connection = connection.clone();
         async move {
             let reply = reply.await;
             match reply.extensions().get::<CloseMarker>() {
                 Some(CloseMarker) => {
                     Err(std::io::Error::from(std::io::ErrorKind::ConnectionAborted))
                 }
-                None => Ok(reply),
+                None => Ok(reply.map(|body| AnswerBody::new(body, connection))),
             }
         }
     });
@@ -165,7 +192,7 @@
         .header_read_timeout(limits.header_timeout)
         // Twice the limit, so that the handler can send its own reply to most heads that exceed it.
         .max_buf_size(limits.max_header_bytes.saturating_mul(2).max(8192))
-        .serve_connection(HyperStream::new_plain(stream), service)
+        .serve_connection(stream, service)
         .await;
     // A broken connection needs no handling here: its requests see the error when they read or
     // write their bodies.
@@ -219,7 +246,7 @@
     Response::builder()
         .status(status)
         .header(http::header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)).boxed_unsync())
+        .body(ReplyBody::complete(body))
         .expect("the reply head is valid")
 }
 
@@ -232,7 +259,7 @@
 pub fn empty_reply(status: StatusCode) -> HttpReply {
     Response::builder()
         .status(status)
-        .body(Full::new(Bytes::new()).boxed_unsync())
+        .body(ReplyBody::Complete(None))
         .expect("the reply head is valid")
 }
 
@@ -259,26 +286,69 @@
     let reply = Response::builder()
         .status(status)
         .header(http::header::CONTENT_TYPE, "application/x-ndjson")
-        .body(ChannelBody { receiver }.boxed_unsync())
+        .body(ReplyBody::Channel(receiver))
         .expect("the reply head is valid");
     (sender, reply)
 }
 
-/// Response body whose chunks arrive through a channel.
-struct ChannelBody {
-    receiver: mpsc::Receiver<Bytes>,
+/// Builds a reply with a JSON body whose memory stays in the account until it is written.
+///
+/// # Panics
+///
+/// Never panics for a valid status code.
+#[must_use]
+pub fn held_json_reply(status: StatusCode, body: HeldBytes) -> HttpReply {
+    Response::builder()
+        .status(status)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(ReplyBody::Complete(Some(body)))
+        .expect("the reply head is valid")
+}
+
+/// Body of a reply.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// A complete body, `None` once it is sent or if it is empty.
+    Complete(Option<HeldBytes>),
+    /// Chunks that arrive through a channel.
+    Channel(mpsc::Receiver<Bytes>),
+}
+
+impl ReplyBody {
+    fn complete(bytes: Vec<u8>) -> Self {
+        let bytes = HeldBytes::from(Bytes::from(bytes));
+        Self::Complete(bytes.has_remaining().then_some(bytes))
+    }
 }
 
-impl Body for ChannelBody {
-    type Data = Bytes;
+impl Body for ReplyBody {
+    type Data = HeldBytes;
     type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.receiver
-            .poll_next_unpin(context)
-            .map(|chunk| chunk.map(|bytes| Ok(Frame::data(bytes))))
+    ) -> Poll<Option<Result<Frame<HeldBytes>, Infallible>>> {
+        match &mut *self {
+            Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Channel(receiver) => {
+                let chunk = ready!(receiver.poll_next_unpin(context));
+                Poll::Ready(chunk.map(|bytes| Ok(Frame::data(bytes.into()))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Complete(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Complete(bytes) => {
+                let length = bytes.as_ref().map_or(0, Buf::remaining);
+                SizeHint::with_exact(length as u64)
+            }
+            Self::Channel(_) => SizeHint::default(),
+        }
     }
 }
--- a/src/caller_server.rs
+++ b/src/caller_server.rs
@@ -5,16 +5,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use caller_limits::{
+    BodyUse, Connection, HeldBytes, HeldText, MemoryHold, MemoryPool, ReadFailure, read_whole_body,
+};
 use compact_str::CompactString;
 use compio::net::TcpListener;
 use futures_channel::oneshot;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_util::{
-    BodyError, HttpReply, ServerLimits, body_channel, head_bytes, json_reply, read_body, serve_http,
+    HttpReply, ServerLimits, body_channel, head_bytes, held_json_reply, json_reply,
+    serve_http_with_memory,
 };
 use hyper::body::Incoming;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
+use serde_json::value::{RawValue, to_raw_value};
 
 use crate::endpoint_client::EventSink;
 use crate::events::{CallSubmission, CallerAsk, CallerId, CallerReply, Event, ModelSubmission};
@@ -85,14 +90,22 @@
 pub(crate) async fn serve_callers<S: EventSink + Clone + 'static>(
     listener: TcpListener,
     limits: CallerLimits,
+    memory: MemoryPool,
     desk: CallerDesk,
     hub: StreamHub,
     sink: S,
 ) -> std::io::Result<()> {
     let rejected_sink = sink.clone();
-    let handler = move |request| {
-        let (desk, hub, sink) = (desk.clone(), hub.clone(), sink.clone());
-        async move { handle_request(request, limits, desk, hub, sink).await }
+    let head_memory = memory.clone();
+    let handler = move |request, connection| {
+        let parts = ServerParts {
+            limits,
+            memory: memory.clone(),
+            desk: desk.clone(),
+            hub: hub.clone(),
+            sink: sink.clone(),
+        };
+        handle_request(request, connection, parts)
     };
     let rejected = move || {
         rejected_sink.emit(Event::CallerRejected(ResultCode::TooManyConnections));
@@ -100,58 +113,70 @@
             refusal_body(ResultCode::TooManyConnections, None).to_string(),
         ))
     };
-    serve_http(listener, limits.server, handler, rejected).await
+    serve_http_with_memory(
+        listener,
+        limits.server,
+        Some(head_memory),
+        handler,
+        rejected,
+    )
+    .await
 }
 
-async fn handle_request<S: EventSink + Clone + 'static>(
-    request: Request<Incoming>,
+/// What the handler of a request needs.
+struct ServerParts<S> {
     limits: CallerLimits,
+    memory: MemoryPool,
     desk: CallerDesk,
     hub: StreamHub,
     sink: S,
+}
+
+async fn handle_request<S: EventSink + Clone + 'static>(
+    request: Request<Incoming>,
+    connection: Connection,
+    parts: ServerParts<S>,
 ) -> HttpReply {
-    if head_bytes(&request) > limits.server.max_header_bytes {
+    let sink = parts.sink.clone();
+    if head_bytes(&request) > parts.limits.server.max_header_bytes {
         sink.emit(Event::CallerRejected(ResultCode::HeaderTooLarge));
         return refusal_reply(ResultCode::HeaderTooLarge, None);
     }
     let token = bearer_token(request.headers());
-    let ask = match read_ask(request, limits).await {
+    let ask = match read_ask(request, parts.limits, &parts.memory).await {
         Ok(ask) => ask,
         Err((code, detail)) => {
             sink.emit(Event::CallerRejected(code));
             return refusal_reply(code, detail.as_deref());
         }
     };
-    let (caller, receiver) = desk.open();
+    connection.begin_answer();
+    let (caller, receiver) = parts.desk.open();
     let guard = CallerGuard {
         caller,
-        desk,
+        desk: parts.desk.clone(),
         sink: sink.clone(),
     };
     sink.emit(Event::Caller { caller, token, ask });
     let Ok(reply) = receiver.await else {
         return refusal_reply(ResultCode::Draining, None);
     };
-    send_reply(reply, limits, hub, guard)
+    send_reply(reply, parts, guard).await
 }
 
-fn send_reply<S: EventSink + 'static>(
+async fn send_reply<S: EventSink + 'static>(
     reply: CallerReply,
-    limits: CallerLimits,
-    hub: StreamHub,
+    parts: ServerParts<S>,
     guard: CallerGuard<S>,
 ) -> HttpReply {
+    let hub = parts.hub;
     match reply {
         CallerReply::Refused { code, detail } => refusal_reply(code, detail.as_deref()),
         CallerReply::Hosts(hosts) => json_reply(
             StatusCode::OK,
-            &json!({"hosts": hosts, "keep_seconds": limits.keep_seconds}),
+            &json!({"hosts": hosts, "keep_seconds": parts.limits.keep_seconds}),
         ),
-        CallerReply::Result { key, result } => {
-            let value: serde_json::Value =
-                serde_json::from_str(&result).unwrap_or(serde_json::Value::String(result));
-            json_reply(StatusCode::OK, &json!({"key": key, "result": value}))
-        }
+        CallerReply::Result { key, result } => result_reply(&key, &result, &parts.memory).await,
         CallerReply::Cancelled => json_reply(StatusCode::OK, &json!({"cancelled": true})),
         CallerReply::Attach {
             key,
@@ -190,6 +215,26 @@
     }
 }
 
+/// Builds the reply with the result of a call, which is JSON, or else text.
+async fn result_reply(key: &str, result: &str, memory: &MemoryPool) -> HttpReply {
+    #[derive(Serialize)]
+    struct ResultBody<'a> {
+        key: &'a str,
+        result: &'a RawValue,
+    }
+    let text: Box<RawValue>;
+    let raw = if let Ok(raw) = serde_json::from_str(result) {
+        raw
+    } else {
+        text = to_raw_value(result).expect("text serializes to JSON");
+        &*text
+    };
+    let hold = MemoryHold::take(memory, key.len() + result.len()).await;
+    let body = ResultBody { key, result: raw };
+    let bytes = serde_json::to_vec(&body).expect("the reply type serializes to JSON");
+    held_json_reply(StatusCode::OK, HeldBytes::new(bytes.into(), hold))
+}
+
 fn refusal_body(code: ResultCode, detail: Option<&str>) -> serde_json::Value {
     json!({
         "code": code.number(),
@@ -251,7 +296,11 @@
 }
 
 /// Reads what the caller asks for, or the code and detail of its refusal.
-async fn read_ask(request: Request<Incoming>, limits: CallerLimits) -> Result<CallerAsk, AskError> {
+async fn read_ask(
+    request: Request<Incoming>,
+    limits: CallerLimits,
+    memory: &MemoryPool,
+) -> Result<CallerAsk, AskError> {
     let path = request.uri().path().to_owned();
     let key = path.strip_prefix("/v1/requests/").map(CompactString::from);
     match (request.method().clone(), path.as_str(), key) {
@@ -262,12 +311,12 @@
         }),
         (Method::DELETE, _, Some(key)) => Ok(CallerAsk::Cancel { key }),
         (Method::POST, "/v1/requests", _) => {
-            let body = read_json::<SubmitBody>(request, limits).await?;
-            submission(body).map(CallerAsk::Submit)
+            let (body, hold) = read_json::<SubmitBody>(request, limits, memory).await?;
+            submission(body, hold).map(CallerAsk::Submit)
         }
         (Method::POST, "/v1/calls", _) => {
-            let body = read_json::<CallBody>(request, limits).await?;
-            call_submission(body).map(CallerAsk::Call)
+            let (body, hold) = read_json::<CallBody>(request, limits, memory).await?;
+            call_submission(body, hold).map(CallerAsk::Call)
         }
         _ => Err((ResultCode::UnknownPath, None)),
     }
@@ -285,30 +334,50 @@
     })
 }
 
+/// Reads a body, and returns it with its memory.
 async fn read_json<T: CallerBody>(
     request: Request<Incoming>,
     limits: CallerLimits,
-) -> Result<T, AskError> {
-    let body = read_body(
-        request.into_body(),
-        limits.max_body_bytes,
-        limits.body_timeout,
-    )
-    .await
-    .map_err(|error| {
-        let code = match error {
-            BodyError::TooLarge { .. } => ResultCode::BodyTooLarge,
-            BodyError::Truncated | BodyError::TooSlow { .. } => ResultCode::BodyIncomplete,
-        };
-        (code, Some(error.to_string()))
-    })?;
-    serde_json::from_slice(&body).map_err(|error| {
+    memory: &MemoryPool,
+) -> Result<(T, MemoryHold), AskError> {
+    let limit_bytes = limits.max_body_bytes;
+    let reading = read_whole_body(memory, request.into_body(), BodyUse::Request, limit_bytes);
+    let (body, hold) = match compio::time::timeout(limits.body_timeout, reading).await {
+        Ok(Ok(read)) => read,
+        Ok(Err(failure)) => return Err(read_error(failure, limit_bytes)),
+        Err(_) => {
+            let timeout_ms = limits.body_timeout.as_millis();
+            let detail = format!("the body was not complete within {timeout_ms} ms");
+            return Err((ResultCode::BodyIncomplete, Some(detail)));
+        }
+    };
+    let decoded = serde_json::from_slice(&body).map_err(|error| {
         let detail = match faulty_field::<T>(&body) {
             Some(field) => format!("{field}: {error}"),
             None => error.to_string(),
         };
         (ResultCode::MalformedRequest, Some(detail))
-    })
+    });
+    Ok((decoded?, hold))
+}
+
+/// Returns the code and detail of a body that could not be read.
+fn read_error(failure: ReadFailure, limit_bytes: usize) -> AskError {
+    match failure {
+        ReadFailure::TooLarge => {
+            let detail = format!("the body is longer than {limit_bytes} bytes");
+            (ResultCode::BodyTooLarge, Some(detail))
+        }
+        ReadFailure::Truncated => {
+            let detail = "the body ended early".to_owned();
+            (ResultCode::BodyIncomplete, Some(detail))
+        }
+        ReadFailure::Reclaimed => {
+            let detail = "the body came too slowly while memory was short".to_owned();
+            (ResultCode::BodyIncomplete, Some(detail))
+        }
+        ReadFailure::NoMemory => (ResultCode::MemoryFull, None),
+    }
 }
 
 /// A body that callers send, with an example whose fields are valid.
@@ -351,7 +420,7 @@
     Ok(deadline_ms.map(Duration::from_millis))
 }
 
-fn submission(body: SubmitBody) -> Result<ModelSubmission, AskError> {
+fn submission(body: SubmitBody, hold: MemoryHold) -> Result<ModelSubmission, AskError> {
     check_field(
         (1..=MAX_OUTPUT_TOKENS).contains(&body.max_tokens),
         "max_tokens must be from 1 to 1000000",
@@ -370,12 +439,12 @@
         pool: body.pool,
         route: body.route,
         tier: body.tier,
-        prompt: body.prompt.into(),
+        prompt: HeldText::new(body.prompt.into(), hold),
         max_tokens: body.max_tokens,
     })
 }
 
-fn call_submission(body: CallBody) -> Result<CallSubmission, AskError> {
+fn call_submission(body: CallBody, hold: MemoryHold) -> Result<CallSubmission, AskError> {
     check_field(
         (1..=MAX_NAME_BYTES).contains(&body.operation.len()),
         "operation must have 1 to 64 bytes",
@@ -387,6 +456,6 @@
         operation: body.operation,
         idempotent: body.idempotent,
         tier: body.tier,
-        body: body.body.to_string().into(),
+        body: HeldText::new(body.body.to_string().into(), hold),
     })
 }
--- a/src/configs/daemon.rs
+++ b/src/configs/daemon.rs
@@ -5,6 +5,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use caller_limits::MemoryPlan;
 use clap::Parser;
 use log::LevelFilter;
 
@@ -29,6 +30,7 @@
 pub const BODY_BYTES_RANGE: RangeInclusive<usize> = 1024..=64 * 1024 * 1024;
 pub const REQUESTS_RANGE: RangeInclusive<usize> = 1..=1_000_000;
 pub const QUEUED_RANGE: RangeInclusive<usize> = 1..=100_000;
+pub const MEMORY_MB_RANGE: RangeInclusive<usize> = 32..=1024 * 1024;
 pub const PEER_SECRET_BYTES_RANGE: RangeInclusive<usize> = 16..=1024;
 pub const SEED_PEERS_MAX: usize = 64;
 pub const NAME_BYTES_MAX: usize = 64;
@@ -168,6 +170,10 @@
         value_parser = parse_count, default_value_t = Self::default().max_queued)]
     pub max_queued: usize,
 
+    /// Memory that this process may use, in MB; that of the machine if it isn't given.
+    #[arg(long, env = "WISTERIAPIN_MEMORY_MB", value_name = "MB", value_parser = parse_count)]
+    pub memory_mb: Option<usize>,
+
     /// Largest age of the key of a non-idempotent call; at most a third of the log's retention.
     #[arg(long, env = "WISTERIAPIN_CLAIM_WINDOW", value_name = "DURATION",
         value_parser = parse_duration,
@@ -216,6 +222,7 @@
             body_timeout: Duration::from_secs(10),
             max_requests: 20_000,
             max_queued: 10_000,
+            memory_mb: None,
             claim_window: Duration::from_mins(10),
             seed: None,
             log_level: LevelFilter::Info,
@@ -224,3 +231,24 @@
         }
     }
 }
+
+impl DaemonSettings {
+    /// Divides the memory that the settings state, or that of the machine.
+    #[must_use]
+    pub fn memory_plan(&self) -> MemoryPlan {
+        let memory_bytes = self
+            .memory_mb
+            .map_or_else(machine_memory_bytes, |megabytes| {
+                megabytes.saturating_mul(1024 * 1024)
+            });
+        MemoryPlan::new(memory_bytes)
+    }
+}
+
+/// Returns the memory of the machine, as the kernel reports it.
+fn machine_memory_bytes() -> usize {
+    let info = rustix::system::sysinfo();
+    let units = usize::try_from(info.totalram).unwrap_or(usize::MAX);
+    let unit_bytes = usize::try_from(info.mem_unit).unwrap_or(1);
+    units.saturating_mul(unit_bytes)
+}
--- a/src/configs/request.rs
+++ b/src/configs/request.rs
@@ -16,6 +16,8 @@
     pub max_key_lead: Duration,
     /// Time for which the answer of an ended request can be read again.
     pub answer_retention: Duration,
+    /// Maximum size of the answers that are kept for this time.
+    pub max_kept_bytes: usize,
     /// Time without a reader after which a request is cancelled.
     pub detach_timeout: Duration,
     /// Initial and maximum backoff before a declined request is queued again.
@@ -38,6 +40,7 @@
             max_key_age: Duration::from_mins(10),
             max_key_lead: Duration::from_secs(30),
             answer_retention: Duration::from_mins(1),
+            max_kept_bytes: usize::MAX,
             detach_timeout: Duration::from_secs(10),
             backoff: (Duration::from_millis(50), Duration::from_secs(2)),
             ownerless_timeout: Duration::from_secs(3),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant, SystemTime};
 
+use caller_limits::MemoryPool;
 use compio::net::TcpListener;
 use cyper::Client;
 use futures_channel::mpsc;
@@ -172,12 +173,15 @@
     let codec = MessageCodec::new(settings.peer_secret.as_bytes());
     spawn(read_peers(inbox, codec.clone(), queue.clone()));
 
+    let plan = settings.memory_plan();
+    let memory = MemoryPool::new(plan.body_bytes);
     let desk = EffectDesk {
         brief,
         codec,
         link,
         log: LogClient::new(settings.log_address).context(ClientSnafu)?,
         metrics: MetricSender::new(settings.statsd_address).context(MetricsSnafu)?,
+        memory: memory.clone(),
         callers: CallerDesk::default(),
         operators: OperatorSlots::default(),
         hub: StreamHub::default(),
@@ -189,7 +193,7 @@
     };
     let limits = CallerLimits {
         server: ServerLimits {
-            max_connections: settings.max_connections,
+            max_connections: settings.max_connections.min(plan.max_connections),
             max_header_bytes: settings.max_header_bytes,
             ..ServerLimits::default()
         },
@@ -201,6 +205,7 @@
     let callers = serve_callers(
         listener,
         limits,
+        memory,
         desk.callers.clone(),
         desk.hub.clone(),
         queue.clone(),
--- a/src/effect_desk.rs
+++ b/src/effect_desk.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use caller_limits::MemoryPool;
+
 use crate::caller_server::CallerDesk;
 use crate::endpoint_client::{EventSink, cancel_stream, find_stream, run_dispatch};
 use crate::endpoint_poll::{fetch_cache_events, fetch_load_report, probe_service};
@@ -39,6 +41,7 @@
     pub(crate) link: PeerLink,
     pub(crate) log: LogClient,
     pub(crate) metrics: MetricSender,
+    pub(crate) memory: MemoryPool,
     pub(crate) callers: CallerDesk,
     pub(crate) operators: OperatorSlots,
     pub(crate) hub: StreamHub,
@@ -61,6 +64,7 @@
                     order,
                     now,
                     self.hub.clone(),
+                    self.memory.clone(),
                     self.queue.clone(),
                 ));
             }
@@ -198,6 +202,15 @@
         self.metrics.gauge("requests_open", open);
         let bytes = u64::try_from(self.hub.bytes()).unwrap_or(u64::MAX);
         self.metrics.gauge("answer_bytes", bytes);
+        let usage = self.memory.usage();
+        for (name, bytes) in [
+            ("memory_request_bytes", usage.request_bytes),
+            ("memory_response_bytes", usage.response_bytes),
+            ("memory_budget_bytes", usage.budget_bytes),
+        ] {
+            self.metrics
+                .gauge(name, u64::try_from(bytes).unwrap_or(u64::MAX));
+        }
         self.metrics.gauge("config_version", state.config.version());
         for (kind, total) in traffic::totals() {
             let name = Counter::Traffic(kind).name();
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use caller_limits::{HeldText, MemoryHold, MemoryPool};
 use compact_str::CompactString;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use http_util::{ByteStream, DialedConnection, LineReader, request_json};
-use serde::Deserialize;
-use serde_json::json;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::events::{DispatchEnd, DispatchOrder, DispatchResult, DispatchWork, Event};
 use crate::messages::{PermitGrant, RunOutcome};
@@ -78,11 +79,38 @@
     Interrupted,
 }
 
+/// Body of a generate request.
+#[derive(Serialize)]
+struct GenerateBody<'a> {
+    max_tokens: u32,
+    model: &'a str,
+    prompt: &'a str,
+    request_id: &'a str,
+    route: &'a str,
+}
+
+/// Body of a call.
+#[derive(Serialize)]
+struct ServiceCallBody<'a> {
+    body: &'a serde_json::Value,
+    key: &'a str,
+    operation: &'a str,
+    workspace: &'a str,
+}
+
+/// Answer of a service to a call.
+#[derive(Deserialize)]
+struct ServiceAnswer<'a> {
+    #[serde(borrow)]
+    result: &'a RawValue,
+}
+
 /// Performs one dispatch, from the connection to the endpoint until the end of the answer.
 pub(crate) async fn run_dispatch(
     order: DispatchOrder,
     granted_at: Instant,
     hub: StreamHub,
+    memory: MemoryPool,
     sink: impl EventSink,
 ) {
     let mut trace = DispatchTrace {
@@ -100,14 +128,20 @@
             prompt,
             max_tokens,
         } => {
-            let body = json!({
-                "request_id": request_id, "model": model, "route": route,
-                "prompt": &*prompt, "max_tokens": max_tokens,
-            });
+            let body = GenerateBody {
+                max_tokens,
+                model: &model,
+                prompt: &prompt,
+                request_id: &request_id,
+                route: &route,
+            };
+            let body = encode_body(&memory, &body, prompt.len()).await;
+            // A resumed stream doesn't need the prompt again.
+            drop(prompt);
             let result = generate(
                 &grant,
                 &request_id,
-                &body,
+                body,
                 granted_at,
                 &hub,
                 &sink,
@@ -122,17 +156,22 @@
             body,
             timeout,
         } => {
-            let body = json!({
-                "key": grant.key, "workspace": workspace, "operation": operation,
-                "body": serde_json::from_str::<serde_json::Value>(&body).unwrap_or_default(),
-            });
-            let call = call_service(&grant, &body, granted_at, &sink);
+            let call_body = ServiceCallBody {
+                body: &serde_json::from_str(&body).unwrap_or_default(),
+                key: &grant.key,
+                operation: &operation,
+                workspace: &workspace,
+            };
+            let call_body = encode_body(&memory, &call_body, body.len()).await;
+            drop(body);
+            let call = call_service(&grant, call_body, granted_at, &memory, &sink);
             match compio::time::timeout(timeout, call).await {
                 Ok(outcome) => outcome,
                 Err(_) => (DispatchResult::Ran(RunOutcome::Broken), None),
             }
         }
     };
+    let answer_bytes = answer.as_deref().map_or(0, str::len) + hub.stream_bytes(&grant.key);
     sink.emit(Event::DispatchEnded(DispatchEnd {
         tokens: hub.len(&grant.key),
         key: grant.key,
@@ -143,15 +182,28 @@
         first_token: trace.first_token.unwrap_or_default(),
         total: trace.started_at.elapsed(),
         answer,
+        answer_bytes,
     }));
 }
 
+/// Encodes a body of about `length` bytes. Its memory is held until its answer begins.
+async fn encode_body(
+    memory: &MemoryPool,
+    body: &impl Serialize,
+    length: usize,
+) -> (Bytes, MemoryHold) {
+    let hold = MemoryHold::take(memory, length).await;
+    let mut bytes = Vec::with_capacity(length);
+    serde_json::to_writer(&mut bytes, body).expect("the body serializes to JSON");
+    (bytes.into(), hold)
+}
+
 /// Connects to the endpoint and sends the request. Returns an error with the result of the
 /// dispatch if there is no answer to read.
 async fn send_work(
     grant: &PermitGrant,
     path: &str,
-    body: &serde_json::Value,
+    body: (Bytes, MemoryHold),
     granted_at: Instant,
     sink: &impl EventSink,
 ) -> Result<(StatusCode, ByteStream), DispatchResult> {
@@ -160,6 +212,7 @@
     let Ok(Ok(connection)) = compio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
         return Err(unreachable);
     };
+    let (body, _hold) = body;
     let request = post_request(grant.address, path, body);
     // Nothing has been sent yet, so a process that was paused can still return an expired permit.
     if granted_at.elapsed() > PERMIT_VALIDITY {
@@ -176,20 +229,20 @@
     Ok((head.status(), stream))
 }
 
-fn post_request(address: SocketAddr, path: &str, body: &serde_json::Value) -> Request<Full<Bytes>> {
+fn post_request(address: SocketAddr, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     Request::builder()
         .method(Method::POST)
         .uri(path)
         .header(http::header::HOST, address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body.to_string())))
+        .body(Full::new(body))
         .expect("the request head is valid")
 }
 
 async fn generate(
     grant: &PermitGrant,
     request_id: &str,
-    body: &serde_json::Value,
+    body: (Bytes, MemoryHold),
     granted_at: Instant,
     hub: &StreamHub,
     sink: &impl EventSink,
@@ -358,16 +411,17 @@
 
 async fn call_service(
     grant: &PermitGrant,
-    body: &serde_json::Value,
+    body: (Bytes, MemoryHold),
     granted_at: Instant,
+    memory: &MemoryPool,
     sink: &impl EventSink,
-) -> (DispatchResult, Option<String>) {
+) -> (DispatchResult, Option<HeldText>) {
     let broken = DispatchResult::Ran(RunOutcome::Broken);
     let (status, stream) = match send_work(grant, "/v1/call", body, granted_at, sink).await {
         Ok(sent) => sent,
         Err(result) => return (result, None),
     };
-    let Ok(reply) = stream.read_all(MAX_REPLY_BYTES).await else {
+    let Ok((reply, hold)) = stream.read_held(memory, MAX_REPLY_BYTES).await else {
         return (broken, None);
     };
     if status != StatusCode::OK {
@@ -382,12 +436,12 @@
         };
         return (DispatchResult::Ran(outcome), None);
     }
-    let answer = serde_json::from_slice::<serde_json::Value>(&reply)
-        .ok()
-        .and_then(|value| value.get("result").map(ToString::to_string));
-    match answer {
-        Some(answer) => (DispatchResult::Ran(RunOutcome::Completed), Some(answer)),
-        None => (DispatchResult::Ran(RunOutcome::Failed), None),
+    match serde_json::from_slice::<ServiceAnswer>(&reply) {
+        Ok(answer) => {
+            let text = HeldText::new(answer.result.get().into(), hold);
+            (DispatchResult::Ran(RunOutcome::Completed), Some(text))
+        }
+        Err(_) => (DispatchResult::Ran(RunOutcome::Failed), None),
     }
 }
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,9 +1,9 @@
 //! Everything that the reducer is told, and everything that it asks for.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
+use caller_limits::HeldText;
 use compact_str::CompactString;
 
 use crate::claim::AppendFailure;
@@ -48,7 +48,7 @@
     pub route: RouteName,
     pub tier: TierNumber,
     pub deadline: Option<Duration>,
-    pub prompt: Rc<str>,
+    pub prompt: HeldText,
     pub max_tokens: u32,
 }
 
@@ -61,7 +61,7 @@
     pub idempotent: bool,
     pub tier: TierNumber,
     pub deadline: Option<Duration>,
-    pub body: Rc<str>,
+    pub body: HeldText,
 }
 
 /// What a caller asks for.
@@ -101,7 +101,9 @@
     pub first_token: Duration,
     pub total: Duration,
     /// Result of a plain-service call.
-    pub answer: Option<String>,
+    pub answer: Option<HeldText>,
+    /// Size of the answer.
+    pub answer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,7 +210,7 @@
     Hosts(Vec<AddressAnswer>),
     Result {
         key: RequestKey,
-        result: String,
+        result: HeldText,
     },
     Cancelled,
 }
@@ -234,13 +236,13 @@
         request_id: String,
         model: PoolName,
         route: RouteName,
-        prompt: Rc<str>,
+        prompt: HeldText,
         max_tokens: u32,
     },
     Call {
         workspace: CompactString,
         operation: CompactString,
-        body: Rc<str>,
+        body: HeldText,
         timeout: Duration,
     },
 }
--- a/src/reduce_log.rs
+++ b/src/reduce_log.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use caller_limits::HeldText;
+
 use crate::claim::{AppendFailure, ClaimAnswer, ClaimEffect, ClaimKey};
 use crate::config_change::{ChangeKind, ConfigChange, encode_change, parse_change};
 use crate::config_state::ApplyOutcome;
@@ -218,7 +220,10 @@
     let work = match answer {
         ClaimAnswer::Pending => Vec::new(),
         ClaimAnswer::Won => state.requests.apply_claim_won(&key, context.now),
-        ClaimAnswer::Known { result } => state.requests.apply_claim_result(&key, result, context),
+        ClaimAnswer::Known { result } => {
+            let result = result.map(HeldText::from);
+            state.requests.apply_claim_result(&key, result, context)
+        }
         ClaimAnswer::Refused(code) => state.requests.apply_claim_result(&key, Err(code), context),
     };
     route_work(state, work, context)
--- a/src/request.rs
+++ b/src/request.rs
@@ -54,6 +54,8 @@
     by_caller: FastMap<CallerId, WorkKey>,
     /// Number of entries that have not ended.
     open: usize,
+    /// Size of the answers of ended entries.
+    pub(crate) kept_bytes: usize,
 }
 
 /// The data that both kinds of submissions share.
@@ -72,6 +74,7 @@
             keys: KeyMemory::default(),
             by_caller: FastMap::default(),
             open: 0,
+            kept_bytes: 0,
         }
     }
 
@@ -156,7 +159,7 @@
             if !may_try_again {
                 return self.attach_caller(&key, arrival.caller, 0);
             }
-            self.entries.remove(&key);
+            self.remove_ended(&key);
         }
         let deadline = submission.deadline.unwrap_or(arrival.default_deadline);
         let claim = (!repeatable).then(|| ClaimKey {
@@ -360,6 +363,7 @@
         };
         entry.phase = WorkPhase::Ended { code, slot };
         self.open -= 1;
+        self.kept_bytes += entry.answer_bytes;
         self.ended.push_back((context.now, entry.key.clone()));
         let counter = match code {
             ResultCode::Completed => Counter::Ended(code),
@@ -375,7 +379,7 @@
             claim: Some(claim), ..
         } = &entry.body
         {
-            let result = entry.result.clone().ok_or(code);
+            let result = entry.result.as_deref().map(str::to_owned).ok_or(code);
             let claim = claim.clone();
             effects.push(WorkEffect::ClaimFinished { claim, result });
         }
@@ -388,6 +392,13 @@
         effects
     }
 
+    /// Removes an ended request and its answer.
+    pub(crate) fn remove_ended(&mut self, key: &str) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.kept_bytes -= entry.answer_bytes;
+        }
+    }
+
     /// Detaches a caller that closed its connection.
     pub(crate) fn remove_caller(&mut self, caller: CallerId, now: Instant) {
         let Some(key) = self.by_caller.remove(&caller) else {
--- a/src/request_run.rs
+++ b/src/request_run.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use caller_limits::HeldText;
 use rand::Rng;
 
 use crate::context::Context;
@@ -133,6 +134,7 @@
             message: PeerMessage::Finished(finish_report(entry, &slot, &end, outcome)),
         }];
         entry.result = end.answer;
+        entry.answer_bytes = end.answer_bytes;
         match end_code(outcome, end.result) {
             Some(code) => {
                 effects.extend(self.end(&end.key, code, context));
@@ -207,7 +209,7 @@
     pub(crate) fn apply_claim_result(
         &mut self,
         key: &str,
-        result: Result<String, ResultCode>,
+        result: Result<HeldText, ResultCode>,
         context: &Context,
     ) -> Vec<WorkEffect> {
         let Some(entry) = self.entries.get_mut(key) else {
@@ -222,6 +224,7 @@
         }
         let code = match result {
             Ok(result) => {
+                entry.answer_bytes = result.len();
                 entry.result = Some(result);
                 ResultCode::Completed
             }
--- a/src/request_tests.rs
+++ b/src/request_tests.rs
@@ -76,6 +76,7 @@
         first_token: Duration::from_millis(20),
         total: Duration::from_millis(60),
         answer: None,
+        answer_bytes: 0,
     }
 }
 
--- a/src/request_tick.rs
+++ b/src/request_tick.rs
@@ -73,11 +73,17 @@
             .collect()
     }
 
-    /// Removes answers and keys whose retention is over.
+    /// Removes answers and keys whose retention is over, and the oldest answers if all together are
+    /// too large.
     fn remove_expired(&mut self, context: &Context) -> Vec<WorkEffect> {
         let mut effects = Vec::new();
-        while let Some((ended_at, _)) = self.ended.front() {
-            if context.now.saturating_duration_since(*ended_at) < self.settings.answer_retention {
+        for _ in 0..self.ended.len() {
+            let Some((ended_at, _)) = self.ended.front() else {
+                break;
+            };
+            let kept_for = context.now.saturating_duration_since(*ended_at);
+            let is_over = kept_for >= self.settings.answer_retention;
+            if !is_over && self.kept_bytes <= self.settings.max_kept_bytes {
                 break;
             }
             let Some((_, key)) = self.ended.pop_front() else {
@@ -91,7 +97,7 @@
                 continue;
             }
             if entry.is_some_and(|entry| !entry.is_open()) {
-                self.entries.remove(&key);
+                self.remove_ended(&key);
                 effects.push(Effect::DropStream { key }.into());
             }
         }
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -114,6 +114,7 @@
     RetryBudget = 1308, 503, NotRun, "no endpoint took the request and the retry budget is used up";
     HostFull = 1309, 503, NotRun, "this host holds too many requests; use another address";
     NotReady = 1310, 503, NotRun, "this host has no configuration yet; use another address";
+    MemoryFull = 1311, 503, NotRun, "this host has no memory for the body; use another address";
 
     Quarantined = 1401, 422, NotRun, "requests with this content were running when endpoints crashed; it is refused for a while";
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,8 +12,8 @@
 
 use crate::configs::daemon::{
     BODY_BYTES_RANGE, BODY_TIMEOUT_RANGE, CLAIM_WINDOW_RANGE, CONNECTIONS_RANGE,
-    DISCOVERY_TTL_RANGE, DRAIN_LIMIT_MAX, DaemonSettings, HEADER_BYTES_RANGE, NAME_BYTES_MAX,
-    PEER_SECRET_BYTES_RANGE, QUEUED_RANGE, REQUESTS_RANGE, SEED_PEERS_MAX,
+    DISCOVERY_TTL_RANGE, DRAIN_LIMIT_MAX, DaemonSettings, HEADER_BYTES_RANGE, MEMORY_MB_RANGE,
+    NAME_BYTES_MAX, PEER_SECRET_BYTES_RANGE, QUEUED_RANGE, REQUESTS_RANGE, SEED_PEERS_MAX,
 };
 
 /// Exit code for wrong usage: bad flags and bad settings.
@@ -148,7 +148,10 @@
         ("--max-requests", settings.max_requests, REQUESTS_RANGE),
         ("--max-queued", settings.max_queued, QUEUED_RANGE),
     ];
-    for (flag, value, range) in limits {
+    let memory = settings
+        .memory_mb
+        .map(|megabytes| ("--memory-mb", megabytes, MEMORY_MB_RANGE));
+    for (flag, value, range) in limits.into_iter().chain(memory) {
         if !range.contains(&value) {
             let allowed = format!("{} to {} are allowed", range.start(), range.end());
             return bad_value(flag, value.to_string(), allowed);
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,10 +76,14 @@
     pub next_snapshot_check: Instant,
 }
 
+/// Part of the memory of bodies that answers may occupy which are kept to be read again.
+const KEPT_ANSWER_DIVISOR: usize = 4;
+
 impl State {
     pub(crate) fn new(settings: &DaemonSettings, nonce_seed: u64, now: Instant) -> Self {
         let request_settings = RequestSettings {
             max_open: settings.max_requests,
+            max_kept_bytes: settings.memory_plan().body_bytes / KEPT_ANSWER_DIVISOR,
             ..RequestSettings::default()
         };
         let mut pool_settings = PoolSettings {
--- a/src/stream_hub.rs
+++ b/src/stream_hub.rs
@@ -75,6 +75,12 @@
         streams.get(key).map_or(0, |entry| entry.buffer.len())
     }
 
+    /// Returns the number of bytes in the buffer of a stream.
+    pub(crate) fn stream_bytes(&self, key: &str) -> usize {
+        let streams = self.streams.borrow();
+        streams.get(key).map_or(0, |entry| entry.buffer.bytes())
+    }
+
     /// Ends a stream; later calls keep the first result code.
     pub(crate) fn end(&self, key: &str, code: ResultCode) {
         if let Some(entry) = self.streams.borrow_mut().get_mut(key) {
--- a/src/work_entry.rs
+++ b/src/work_entry.rs
@@ -1,8 +1,8 @@
 //! State of a model request or service call at its home, from arrival to its end.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use caller_limits::HeldText;
 use compact_str::CompactString;
 
 use crate::claim::ClaimKey;
@@ -22,12 +22,12 @@
 #[derive(Clone, Debug)]
 pub(crate) enum WorkBody {
     Generate {
-        prompt: Rc<str>,
+        prompt: HeldText,
         max_tokens: u32,
     },
     Call {
         operation: CompactString,
-        body: Rc<str>,
+        body: HeldText,
         /// Claim of a call that must not run twice; `None` for an idempotent call.
         claim: Option<ClaimKey>,
     },
@@ -70,7 +70,9 @@
     /// Permit of the endpoint that accepted the request. The answer is then read from the buffer.
     pub accepted_by: Option<PermitGrant>,
     /// Result of a service call.
-    pub result: Option<String>,
+    pub result: Option<HeldText>,
+    /// Size of the answer that is kept.
+    pub answer_bytes: usize,
     /// Callers that have received no answer yet, with the index from which they read.
     pub waiting: Vec<(CallerId, u32)>,
     /// Callers that are reading the answer.
@@ -102,6 +104,7 @@
             phase: WorkPhase::Queued { retry_at: None },
             accepted_by: None,
             result: None,
+            answer_bytes: 0,
             waiting: vec![(caller, 0)],
             readers: FastSet::default(),
             detached_since: None,
@@ -165,7 +168,7 @@
                 request_id: self.request_id(),
                 model: self.pool.clone(),
                 route: self.route.clone(),
-                prompt: Rc::clone(prompt),
+                prompt: prompt.clone(),
                 max_tokens: *max_tokens,
             },
             WorkBody::Call {
@@ -173,7 +176,7 @@
             } => DispatchWork::Call {
                 workspace: self.workspace.clone(),
                 operation: operation.clone(),
-                body: Rc::clone(body),
+                body: body.clone(),
                 timeout: call_timeout,
             },
         };
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -44,6 +44,8 @@
         ("--max-requests", "-1"),
         ("--max-queued", "0"),
         ("--max-queued", "100001"),
+        ("--memory-mb", "31"),
+        ("--memory-mb", "8G"),
         ("--claim-window", "2h"),
         ("--seed", "x"),
         ("--log-level", "loud"),
