Requests: an ended request gives the memory of its body back

What callers saw: requests with long prompts that were refused or had ended kept their prompts for a minute; a crowd of them filled the memory, and others were refused.

Cause: an ended request stays in the table so that its answer can be read again, with its body, which nothing needs any more: its digest tells repeats apart.

Change: the body is released when the request ends.

--- a/src/request.rs
+++ b/src/request.rs
@@ -362,6 +362,7 @@
             | WorkPhase::Ended { .. } => None,
         };
         entry.phase = WorkPhase::Ended { code, slot };
+        entry.release_body();
         self.open -= 1;
         self.kept_bytes += entry.answer_bytes;
         self.ended.push_back((context.now, entry.key.clone()));
--- a/src/work_entry.rs
+++ b/src/work_entry.rs
@@ -113,6 +113,15 @@
         }
     }
 
+    /// Gives back the memory of a body that is no longer needed.
+    pub(crate) fn release_body(&mut self) {
+        match &mut self.body {
+            WorkBody::Generate { prompt: text, .. } | WorkBody::Call { body: text, .. } => {
+                *text = HeldText::from("");
+            }
+        }
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         !matches!(self.phase, WorkPhase::Ended { .. })
     }
