Calls: bodies aren't decoded into values

What callers saw: one call whose body holds many small values took 32 times its length, again while its service worked on it.

Cause: the body was decoded into serde_json's values, for its canonical text, for the name of a faulty field, and once more to send it.

Change: the canonical text is written while the body is read, arrays without being collected; raw text goes on to the service. The text, and so the digest of a call, is the same as before: compared with the decoded value's on fixed and on random values.

--- a/src/caller_server.rs
+++ b/src/caller_server.rs
@@ -1,6 +1,7 @@
 //! HTTP for callers: reads requests, hands them to the reducer and sends its answers.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use serde_json::json;
 use serde_json::value::{RawValue, to_raw_value};
 
+use crate::canonical_json::CanonicalJson;
 use crate::endpoint_client::EventSink;
 use crate::events::{CallSubmission, CallerAsk, CallerId, CallerReply, Event, ModelSubmission};
 use crate::ids::FastMap;
@@ -286,7 +288,7 @@
     tier: u8,
     deadline_ms: Option<u64>,
     #[serde(default)]
-    body: serde_json::Value,
+    body: CanonicalJson,
 }
 
 impl CallerBody for CallBody {
@@ -388,12 +390,19 @@
 /// Finds the field whose value does not have the right type: the errors of the JSON reader name
 /// only missing and unknown fields.
 fn faulty_field<T: CallerBody>(body: &[u8]) -> Option<String> {
-    let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(body).ok()?;
+    let fields: BTreeMap<String, &RawValue> = serde_json::from_slice(body).ok()?;
     let example = T::example();
-    let is_faulty = |(name, value): &(&String, &serde_json::Value)| {
-        let mut changed = example.clone();
-        changed[name.as_str()] = (*value).clone();
-        serde_json::from_value::<T>(changed).is_err()
+    let is_faulty = |(name, value): &(&String, &&RawValue)| {
+        let mut changed: BTreeMap<&str, Box<RawValue>> = BTreeMap::new();
+        for (field, value) in example.as_object().into_iter().flatten() {
+            changed.insert(
+                field,
+                to_raw_value(value).expect("the value serializes to JSON"),
+            );
+        }
+        changed.insert(name, (**value).to_owned());
+        let changed = serde_json::to_vec(&changed).expect("the fields serialize to JSON");
+        serde_json::from_slice::<T>(&changed).is_err()
     };
     let (name, _) = fields.iter().find(is_faulty)?;
     Some(name.chars().take(MAX_NAME_BYTES).collect())
@@ -456,6 +465,6 @@
         operation: body.operation,
         idempotent: body.idempotent,
         tier: body.tier,
-        body: HeldText::new(body.body.to_string().into(), hold),
+        body: HeldText::new(body.body.0.into(), hold),
     })
 }
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -92,7 +92,7 @@
 /// Body of a call.
 #[derive(Serialize)]
 struct ServiceCallBody<'a> {
-    body: &'a serde_json::Value,
+    body: &'a RawValue,
     key: &'a str,
     operation: &'a str,
     workspace: &'a str,
@@ -157,7 +157,7 @@
             timeout,
         } => {
             let call_body = ServiceCallBody {
-                body: &serde_json::from_str(&body).unwrap_or_default(),
+                body: serde_json::from_str(&body).unwrap_or(RawValue::NULL),
                 key: &grant.key,
                 operation: &operation,
                 workspace: &workspace,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod baseline;
 mod caller_server;
+mod canonical_json;
 mod choice;
 pub mod claim;
 mod claim_append;
@@ -100,6 +101,8 @@
 #[cfg(test)]
 mod bounds_tests;
 #[cfg(test)]
+mod canonical_json_tests;
+#[cfg(test)]
 mod decoder_tests;
 #[cfg(test)]
 mod discovery_tests;
