Operators: messages draw from the account of memory

What operators saw: 16 messages of 8 MB that stop short, from anybody with any token, took 128 MB.

Cause: the bound was a number of calls times a size, whatever the memory of the host.

A connection buffers 64 KiB before a message is read, instead of 1 MB.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -205,7 +205,7 @@
     let callers = serve_callers(
         listener,
         limits,
-        memory,
+        memory.clone(),
         desk.callers.clone(),
         desk.hub.clone(),
         queue.clone(),
@@ -219,7 +219,9 @@
     let (calls, inbox) = mpsc::channel(OPERATOR_CALLS);
     spawn(read_operators(inbox, Rc::clone(&desk.operators), queue));
     spawn(async move {
-        if let Err(error) = serve_operators(listener, calls, OperatorLimits::default()).await {
+        if let Err(error) =
+            serve_operators(listener, calls, OperatorLimits::default(), memory).await
+        {
             log::error!(error:%; "operator: the listener failed");
         }
     });
--- a/src/operator_server.rs
+++ b/src/operator_server.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use caller_limits::{BodyUse, MemoryHold, MemoryPool, ReadFailure, read_whole_body};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
 use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use http::{Request, Response};
 use http_body_util::Full;
-use http_util::{BodyError, read_body};
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper_util::service::TowerToHyperService;
@@ -27,6 +29,8 @@
 
 /// A gRPC message follows one byte of flags and four bytes of length.
 const MESSAGE_HEADER_BYTES: usize = 5;
+/// Bytes of messages that a connection buffers before they are read.
+const WINDOW_BYTES: u32 = 64 * 1024;
 /// Time for which a connection above the limit is kept to be told its refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -54,9 +58,19 @@
 struct SharedParts {
     server: OperatorServer<OperatorService>,
     limits: OperatorLimits,
+    reads: mpsc::UnboundedSender<ReadJob>,
     open_calls: Arc<AtomicUsize>,
 }
 
+/// Keeps the memory of a message in the account until it is dropped.
+type HoldToken = oneshot::Sender<Infallible>;
+
+/// A message to be read.
+struct ReadJob {
+    body: Incoming,
+    reply: oneshot::Sender<Result<(Bytes, HoldToken), ResultCode>>,
+}
+
 /// Accepts connections until the listener fails; each call is sent to `calls`.
 ///
 /// Refusals of this server itself are gRPC statuses whose message starts with the number of the
@@ -69,11 +83,15 @@
     listener: TcpListener,
     calls: mpsc::Sender<OperatorCall>,
     limits: OperatorLimits,
+    memory: MemoryPool,
 ) -> std::io::Result<()> {
+    let (reads, jobs) = mpsc::unbounded();
+    compio::runtime::spawn(read_messages(jobs, limits, memory)).detach();
     let parts = SharedParts {
         server: OperatorServer::new(OperatorService::new(calls))
             .max_decoding_message_size(limits.max_message_bytes),
         limits,
+        reads,
         open_calls: Arc::default(),
     };
     let connections = Arc::default();
@@ -114,6 +132,8 @@
         .timer(CompioTimer)
         .max_concurrent_streams(limits.max_streams)
         .max_header_list_size(limits.max_header_bytes)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
         .keep_alive_interval(limits.keep_alive_interval)
         .keep_alive_timeout(limits.keep_alive_timeout)
         .serve_connection(
@@ -157,32 +177,69 @@
     if bearer_token(&head.headers).is_none() {
         return refusal(ResultCode::MissingCredentials);
     }
-    let body = match read_message(body, parts.limits).await {
-        Ok(body) => body,
-        Err(code) => return refusal(code),
+    let (reply, receiver) = oneshot::channel();
+    // Fails only after the listener has failed.
+    let _ = parts.reads.unbounded_send(ReadJob { body, reply });
+    let (body, token) = match receiver.await {
+        Ok(Ok(read)) => read,
+        Ok(Err(code)) => return refusal(code),
+        Err(_) => return refusal(ResultCode::BodyIncomplete),
     };
     let request = Request::from_parts(head, Full::new(body));
     let response = match parts.server.call(request).await {
         Ok(response) => response,
         Err(never) => match never {},
     };
-    drop(slot);
+    drop((slot, token));
     with_code(response)
 }
 
-/// Reads a request body on the event loop's thread, since its timer cannot leave that thread.
-async fn read_message(body: Incoming, limits: OperatorLimits) -> Result<Bytes, ResultCode> {
-    let (sender, receiver) = oneshot::channel();
+/// Reads messages on the event loop's thread, which the account cannot leave. Calls bound their
+/// number.
+async fn read_messages(
+    mut jobs: mpsc::UnboundedReceiver<ReadJob>,
+    limits: OperatorLimits,
+    memory: MemoryPool,
+) {
+    while let Some(ReadJob { body, mut reply }) = jobs.next().await {
+        let memory = memory.clone();
+        compio::runtime::spawn(async move {
+            let reading = std::pin::pin!(read_message(body, limits, &memory));
+            // A caller that has gone needs no message.
+            let Either::Left((read, _)) = select(reading, reply.cancellation()).await else {
+                return;
+            };
+            match read {
+                Ok((bytes, hold)) => {
+                    let (token, ended) = oneshot::channel();
+                    if reply.send(Ok((bytes, token))).is_ok() {
+                        // Ends when the token is dropped.
+                        let _ = ended.await;
+                    }
+                    drop(hold);
+                }
+                Err(code) => {
+                    let _ = reply.send(Err(code));
+                }
+            }
+        })
+        .detach();
+    }
+}
+
+/// Reads a request body, and returns it with its memory.
+async fn read_message(
+    body: Incoming,
+    limits: OperatorLimits,
+    memory: &MemoryPool,
+) -> Result<(Bytes, MemoryHold), ResultCode> {
     let limit_bytes = limits.max_message_bytes + MESSAGE_HEADER_BYTES;
-    compio::runtime::spawn(async move {
-        // The receiver is gone when the caller has gone.
-        drop(sender.send(read_body(body, limit_bytes, limits.body_timeout).await));
-    })
-    .detach();
-    match receiver.await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge { .. })) => Err(ResultCode::BodyTooLarge),
-        Ok(Err(BodyError::Truncated | BodyError::TooSlow { .. })) | Err(_) => {
+    let reading = read_whole_body(memory, body, BodyUse::Request, limit_bytes);
+    match compio::time::timeout(limits.body_timeout, reading).await {
+        Ok(Ok(read)) => Ok(read),
+        Ok(Err(ReadFailure::TooLarge)) => Err(ResultCode::BodyTooLarge),
+        Ok(Err(ReadFailure::NoMemory)) => Err(ResultCode::MemoryFull),
+        Ok(Err(ReadFailure::Truncated | ReadFailure::Reclaimed)) | Err(_) => {
             Err(ResultCode::BodyIncomplete)
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use caller_limits::MemoryPool;
 use compio::net::TcpListener;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
@@ -24,7 +25,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (calls, mut received) = mpsc::channel::<OperatorCall>(4);
-    compio::runtime::spawn(serve_operators(listener, calls, limits)).detach();
+    let memory = MemoryPool::new(64 * 1024 * 1024);
+    compio::runtime::spawn(serve_operators(listener, calls, limits, memory)).detach();
     compio::runtime::spawn(async move {
         while let Some(call) = received.next().await {
             seen.unbounded_send(call.request.clone()).ok();
