Daemon: kept answers leave room for what waits to be sent

Cause: requests (0.7) and kept answers (0.25) could take all but a twentieth of the account; a long request that has got an endpoint draws its length once more while it is sent, and would have had to wait until kept answers expired. Found by reading; not shown by a test.

Change: kept answers may take an eighth of the account.

--- a/src/state.rs
+++ b/src/state.rs
@@ -77,7 +77,7 @@
 }
 
 /// Part of the memory of bodies that answers may occupy which are kept to be read again.
-const KEPT_ANSWER_DIVISOR: usize = 4;
+const KEPT_ANSWER_DIVISOR: usize = 8;
 
 impl State {
     pub(crate) fn new(settings: &DaemonSettings, nonce_seed: u64, now: Instant) -> Self {
