Memory: heads that stop short give theirs back

What callers saw: heads beyond 8 KiB that stop short kept their memory until their time-out, a minute at the daemon, while ordinary requests were refused with 1311.

Cause: such a head was chosen to give its memory back, but nothing ended its connection, and it wasn't chosen again. Found by reading.

Change: the head's connection ends.

Measured: the test of two heads in 200 KB failed before and passes.

--- a/caller-limits/src/connection.rs
+++ b/caller-limits/src/connection.rs
@@ -145,9 +145,9 @@
         let needed = head.read_bytes * HEAD_BUFFER_FACTOR;
         let needed = needed.next_multiple_of(HEAD_GROWTH_BYTES);
         let more = needed.saturating_sub(head.held_bytes);
-        let hold = head
-            .hold
-            .get_or_insert_with(|| MemoryHold::open(memory, BodyUse::Request).0);
+        let hold = head.hold.get_or_insert_with(|| {
+            MemoryHold::open_for(memory, BodyUse::Request, self.abort_handle())
+        });
         let is_granted = more == 0 || hold.try_reserve(more);
         if is_granted {
             head.held_bytes += more;
--- a/caller-limits/src/connection_table.rs
+++ b/caller-limits/src/connection_table.rs
@@ -28,7 +28,7 @@
 /// A connection that may be served.
 #[derive(Debug)]
 pub struct AdmittedConnection {
-    connection: Connection,
+    pub(crate) connection: Connection,
     /// Ends the task of the connection when it is closed.
     registration: AbortRegistration,
     place: Option<(Rc<ConnectionTable>, ConnectionNumber)>,
--- a/caller-limits/src/lib.rs
+++ b/caller-limits/src/lib.rs
@@ -13,6 +13,8 @@
 mod caller_stream;
 mod connection;
 mod connection_table;
+#[cfg(test)]
+mod connection_tests;
 mod held_bytes;
 mod held_text;
 mod memory_account;
--- a/caller-limits/src/memory_pool.rs
+++ b/caller-limits/src/memory_pool.rs
@@ -56,16 +56,20 @@
 impl MemoryHold {
     /// Adds a body that occupies nothing yet. Its task ends if the body has to give its memory back.
     pub(crate) fn open(pool: &MemoryPool, body_use: BodyUse) -> (Self, AbortRegistration) {
-        let (handle, registration) = AbortHandle::new_pair();
+        let (task, registration) = AbortHandle::new_pair();
+        (Self::open_for(pool, body_use, task), registration)
+    }
+
+    /// Adds a body that occupies nothing yet, and whose task is known.
+    pub(crate) fn open_for(pool: &MemoryPool, body_use: BodyUse, task: AbortHandle) -> Self {
         let state = &mut *pool.0.borrow_mut();
         let number = state.account.open(body_use, Instant::now());
-        state.reclaims.insert(number, handle);
-        let hold = Self {
+        state.reclaims.insert(number, task);
+        Self {
             pool: pool.clone(),
             number,
             body_use,
-        };
-        (hold, registration)
+        }
     }
 
     /// Takes memory for a complete response, and waits until there is some.
