Streams of the daemon: a caller that takes nothing loses its connection

What callers saw: the buffer of a stream that its caller doesn't read is kept as long as the connection is open, also past the minute for which answers are kept.

Cause: the relay waited without a limit until the caller takes something. Found by reading.

Change: a caller that takes nothing for 30 s, although there is something for it, loses its connection.

Measured: an unread stream ends after its time limit (there was none), a caller that begins to read in time gets all of it (src/stream_hub_tests.rs).

--- a/src/caller_server.rs
+++ b/src/caller_server.rs
@@ -26,8 +26,9 @@
 use crate::endpoint_client::EventSink;
 use crate::events::{CallSubmission, CallerAsk, CallerId, CallerReply, Event, ModelSubmission};
 use crate::ids::FastMap;
+use crate::remote_stream::relay_remote_stream;
 use crate::result_code::ResultCode;
-use crate::stream_hub::StreamHub;
+use crate::stream_hub::{StreamHub, StreamSender};
 
 /// Streamed chunks that may wait for a slow caller.
 const BODY_CHANNEL_CHUNKS: usize = 16;
@@ -38,6 +39,8 @@
     pub server: ServerLimits,
     pub max_body_bytes: usize,
     pub body_timeout: Duration,
+    /// Time in which the caller of a stream has to take something.
+    pub unread_timeout: Duration,
     pub keep_seconds: u64,
 }
 
@@ -163,15 +166,17 @@
     let Ok(reply) = receiver.await else {
         return refusal_reply(ResultCode::Draining, None);
     };
-    send_reply(reply, parts, guard).await
+    send_reply(reply, parts, connection, guard).await
 }
 
 async fn send_reply<S: EventSink + 'static>(
     reply: CallerReply,
     parts: ServerParts<S>,
+    connection: Connection,
     guard: CallerGuard<S>,
 ) -> HttpReply {
     let hub = parts.hub;
+    let unread_timeout = parts.limits.unread_timeout;
     match reply {
         CallerReply::Refused { code, detail } => refusal_reply(code, detail.as_deref()),
         CallerReply::Hosts(hosts) => json_reply(
@@ -185,9 +190,11 @@
             endpoint,
             from,
         } => {
-            let (mut sender, reply) = body_channel(StatusCode::OK, BODY_CHANNEL_CHUNKS);
+            let (mut sender, reply) = stream_reply(unread_timeout);
             compio::runtime::spawn(async move {
-                hub.relay(&key, &endpoint, from, &mut sender).await;
+                if !hub.relay(&key, &endpoint, from, &mut sender).await {
+                    connection.close();
+                }
                 drop(guard);
             })
             .detach();
@@ -199,16 +206,13 @@
             key,
             from,
         } => {
-            let (mut sender, reply) = body_channel(StatusCode::OK, BODY_CHANNEL_CHUNKS);
+            let (mut sender, reply) = stream_reply(unread_timeout);
             compio::runtime::spawn(async move {
-                crate::remote_stream::relay_remote_stream(
-                    address,
-                    &request_id,
-                    &key,
-                    from,
-                    &mut sender,
-                )
-                .await;
+                let relayed =
+                    relay_remote_stream(address, &request_id, &key, from, &mut sender).await;
+                if !relayed {
+                    connection.close();
+                }
                 drop(guard);
             })
             .detach();
@@ -217,6 +221,16 @@
     }
 }
 
+/// Builds the reply of a stream, and the sender of its lines.
+fn stream_reply(unread_timeout: Duration) -> (StreamSender, HttpReply) {
+    let (body, reply) = body_channel(StatusCode::OK, BODY_CHANNEL_CHUNKS);
+    let sender = StreamSender {
+        body,
+        unread_timeout,
+    };
+    (sender, reply)
+}
+
 /// Builds the reply with the result of a call, which is JSON, or else text.
 async fn result_reply(key: &str, result: &str, memory: &MemoryPool) -> HttpReply {
     #[derive(Serialize)]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -43,6 +43,8 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed read of the log.
 const LOG_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time in which the caller of a stream has to take something.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
 const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
 const OPERATOR_CALLS: usize = 64;
 
@@ -199,6 +201,7 @@
         },
         max_body_bytes: settings.max_body_bytes,
         body_timeout: settings.body_timeout,
+        unread_timeout: UNREAD_TIMEOUT,
         keep_seconds: settings.discovery_ttl.as_secs(),
     };
     let listener = listen(settings.caller_address).await?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -132,3 +132,5 @@
 mod snapshot_parts_tests;
 #[cfg(test)]
 mod stream_buffer_tests;
+#[cfg(test)]
+mod stream_hub_tests;
--- a/src/stream_hub.rs
+++ b/src/stream_hub.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_channel::oneshot;
@@ -31,6 +32,22 @@
     streams: Rc<RefCell<FastMap<RequestKey, StreamEntry>>>,
 }
 
+/// The way of a stream to its caller.
+pub(crate) struct StreamSender {
+    pub(crate) body: BodySender,
+    /// Time in which the caller has to take something.
+    pub(crate) unread_timeout: Duration,
+}
+
+impl StreamSender {
+    /// Sends bytes; returns false if the caller closed the connection or takes nothing.
+    async fn send(&mut self, bytes: Vec<u8>) -> bool {
+        let sending = self.body.send(Bytes::from(bytes));
+        let sent = compio::time::timeout(self.unread_timeout, sending).await;
+        sent.is_ok_and(|sent| sent.is_ok())
+    }
+}
+
 /// The next step of a reader, from the current state of its stream.
 enum ReadStep {
     Lines { lines: Vec<u8>, next: u32 },
@@ -124,13 +141,13 @@
     }
 
     /// Sends a stream to a caller from index `from` onwards. Returns false if the caller closed the
-    /// connection.
+    /// connection or doesn't read.
     pub(crate) async fn relay(
         &self,
         key: &str,
         endpoint: &str,
         from: u32,
-        sender: &mut BodySender,
+        sender: &mut StreamSender,
     ) -> bool {
         let mut next = from;
         if !send_line(sender, &dispatched_line(key, endpoint, from)).await {
@@ -139,7 +156,7 @@
         loop {
             match self.read(key, next) {
                 ReadStep::Lines { lines, next: after } => {
-                    if sender.send(Bytes::from(lines)).await.is_err() {
+                    if !sender.send(lines).await {
                         return false;
                     }
                     next = after;
@@ -159,13 +176,13 @@
 }
 
 /// Waits for a change of the stream; returns false if the caller closes the connection first.
-async fn wait_or_closed(receiver: oneshot::Receiver<()>, sender: &mut BodySender) -> bool {
+async fn wait_or_closed(receiver: oneshot::Receiver<()>, sender: &StreamSender) -> bool {
     use futures_util::future::{Either, select};
     // The body channel does not signal that its receiver was dropped, so the closing is polled.
     let closed = std::pin::pin!(async {
         loop {
-            compio::time::sleep(std::time::Duration::from_millis(200)).await;
-            if sender.is_closed() {
+            compio::time::sleep(Duration::from_millis(200)).await;
+            if sender.body.is_closed() {
                 return;
             }
         }
@@ -201,9 +218,9 @@
     lines.push(b'\n');
 }
 
-/// Sends one NDJSON line; returns false if the caller closed the connection.
-pub(crate) async fn send_line(sender: &mut BodySender, value: &serde_json::Value) -> bool {
+/// Sends one NDJSON line; returns false if the caller closed the connection or doesn't read.
+pub(crate) async fn send_line(sender: &mut StreamSender, value: &serde_json::Value) -> bool {
     let mut line = Vec::new();
     push_line(&mut line, value);
-    sender.send(Bytes::from(line)).await.is_ok()
+    sender.send(line).await
 }
