Requests: the answer of a cancelled request counts among the kept ones

What callers would have seen: the sum of kept answers went below zero a minute after a request was cancelled while it ran; from then on all answers were dropped at once, and a debug build ended.

Found by reading.

Change: what is kept of a cancelled request is counted when its dispatch ends. An entry that still uses a slot isn't dropped before its minute is over: its owner waits for its report.

Measured: both tests of kept answers; the first failed before (0 counted, 100 kept).

--- a/src/request_run.rs
+++ b/src/request_run.rs
@@ -134,6 +134,10 @@
             message: PeerMessage::Finished(finish_report(entry, &slot, &end, outcome)),
         }];
         entry.result = end.answer;
+        if !entry.is_open() {
+            // It was cancelled, and its answer so far is kept.
+            self.kept_bytes = self.kept_bytes - entry.answer_bytes + end.answer_bytes;
+        }
         entry.answer_bytes = end.answer_bytes;
         match end_code(outcome, end.result) {
             Some(code) => {
--- a/src/request_tests.rs
+++ b/src/request_tests.rs
@@ -178,6 +178,69 @@
     assert!(reports.iter().all(|report| report.queued.is_empty()));
 }
 
+/// Returns an end with an answer of this size.
+fn end_with_answer(key: &str, permit: u64, answer_bytes: usize) -> DispatchEnd {
+    DispatchEnd {
+        key: key.into(),
+        answer_bytes,
+        ..end(permit, DispatchResult::Ran(RunOutcome::Completed))
+    }
+}
+
+/// Guards against kept answers whose sizes are counted at their end and differ at their removal.
+#[test]
+fn the_answer_of_a_cancelled_request_is_counted_until_it_is_removed() {
+    let (mut table, mut context) = submitted();
+    table.accept_permit(grant(1), false, &context);
+    table.cancel(KEY, "big", 1, &context);
+    assert_eq!(table.kept_bytes, 0);
+    table.record_dispatch_ended(end_with_answer(KEY, 1, 100), &mut context);
+    assert_eq!(table.kept_bytes, 100);
+    table.remove_caller(1, context.now);
+    context.now += Duration::from_secs(61);
+    table.tick(&context);
+    assert_eq!((table.kept_bytes, table.entries.len()), (0, 0));
+}
+
+/// Guards against kept answers without a bound on their sum, and against a dropped answer that is
+/// called "not run" or runs again.
+#[test]
+fn the_oldest_answers_are_dropped_when_all_are_too_large() {
+    let settings = RequestSettings {
+        max_kept_bytes: 250,
+        ..RequestSettings::default()
+    };
+    let mut table = RequestTable::new(settings);
+    let mut context = context();
+    let keys = [1, 2, 3].map(|number| format!("{KEY}{number}"));
+    for (caller, key) in (1..).zip(&keys) {
+        let submission = ModelSubmission {
+            key: key.as_str().into(),
+            ..submission()
+        };
+        table.submit(submission, &arrival(caller, "big"), &context);
+        let grant = PermitGrant {
+            key: key.as_str().into(),
+            ..grant(caller)
+        };
+        table.accept_permit(grant, false, &context);
+        table.record_dispatch_ended(end_with_answer(key, caller, 100), &mut context);
+        table.remove_caller(caller, context.now);
+    }
+    table.tick(&context);
+    let kept = keys
+        .each_ref()
+        .map(|key| table.entries.contains_key(key.as_str()));
+    assert_eq!((kept, table.kept_bytes), ([false, true, true], 200));
+    let again = ModelSubmission {
+        key: keys[0].as_str().into(),
+        ..submission()
+    };
+    let effects = table.submit(again, &arrival(9, "big"), &context);
+    let text = format!("{effects:?}");
+    assert!(text.contains("KeyUnknown"), "{text}");
+}
+
 /// Guards against a caller that receives "completed" without the answer from a host that is not the
 /// home while the endpoint still retains the stream.
 #[test]
--- a/src/request_tick.rs
+++ b/src/request_tick.rs
@@ -8,7 +8,7 @@
 use crate::messages::PeerMessage;
 use crate::request::{RequestTable, WorkEffect};
 use crate::result_code::ResultCode;
-use crate::work_entry::{WorkBody, WorkKey, WorkPhase};
+use crate::work_entry::{WorkBody, WorkEntry, WorkKey, WorkPhase};
 
 impl RequestTable {
     /// Queues requests again whose backoff is over, ends requests that passed their deadline or
@@ -90,7 +90,10 @@
                 break;
             };
             let entry = self.entries.get(&key);
-            if entry.is_some_and(|entry| !entry.is_open() && !entry.readers.is_empty()) {
+            let is_used = |entry: &WorkEntry| {
+                !entry.readers.is_empty() || (!is_over && entry.slot().is_some())
+            };
+            if entry.is_some_and(|entry| !entry.is_open() && is_used(entry)) {
                 // A slow reader still receives the rest; its connection bounds the time that this
                 // takes.
                 self.ended.push_back((context.now, key));
