--- a/caller-limits/src/answer_body.rs
+++ b/caller-limits/src/answer_body.rs
@@ -5,18 +5,18 @@
 
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::connection::Connection;
+use crate::caller_connection::CallerConnection;
 use crate::held_bytes::HeldBytes;
 
 /// Body of an answer on a connection.
 #[derive(Debug)]
 pub struct AnswerBody<B> {
     body: B,
-    connection: Connection,
+    connection: CallerConnection,
 }
 
 impl<B> AnswerBody<B> {
-    pub fn new(body: B, connection: Connection) -> Self {
+    pub fn new(body: B, connection: CallerConnection) -> Self {
         connection.begin_answer();
         Self { body, connection }
     }
--- a/caller-limits/src/caller_connection.rs
+++ b/caller-limits/src/caller_connection.rs
@@ -49,9 +49,9 @@
 
 /// One connection of a caller, as its stream, its handler and the table share it.
 #[derive(Clone, Debug)]
-pub struct Connection(Rc<ConnectionParts>);
+pub struct CallerConnection(Rc<ConnectionParts>);
 
-impl Connection {
+impl CallerConnection {
     pub(crate) fn new(memory: Option<MemoryPool>, abort: AbortHandle, now: Instant) -> Self {
         Self(Rc::new(ConnectionParts {
             phase: Cell::new(ConnectionPhase::Head),
--- a/caller-limits/src/caller_stream.rs
+++ b/caller-limits/src/caller_stream.rs
@@ -6,7 +6,7 @@
 
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
-use crate::connection::Connection;
+use crate::caller_connection::CallerConnection;
 use crate::write_limiter::WriteLimiter;
 
 /// Maximum size of a single read. The HTTP library's read buffer would grow with larger ones.
@@ -17,11 +17,11 @@
 pub struct CallerStream<S> {
     stream: S,
     limiter: WriteLimiter,
-    connection: Connection,
+    connection: CallerConnection,
 }
 
 impl<S> CallerStream<S> {
-    pub fn new(stream: S, connection: Connection) -> Self {
+    pub fn new(stream: S, connection: CallerConnection) -> Self {
         Self {
             stream,
             limiter: WriteLimiter::default(),
--- a/caller-limits/src/connection_table.rs
+++ b/caller-limits/src/connection_table.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{AbortHandle, AbortRegistration, Abortable, Aborted};
 
 use crate::FastMap;
-use crate::connection::Connection;
+use crate::caller_connection::CallerConnection;
 use crate::memory_pool::MemoryPool;
 
 type ConnectionNumber = u64;
@@ -21,14 +21,14 @@
 pub struct ConnectionTable {
     max_connections: usize,
     memory: Option<MemoryPool>,
-    open: RefCell<FastMap<ConnectionNumber, Connection>>,
+    open: RefCell<FastMap<ConnectionNumber, CallerConnection>>,
     last_number: Cell<ConnectionNumber>,
 }
 
 /// A connection that may be served.
 #[derive(Debug)]
 pub struct AdmittedConnection {
-    pub(crate) connection: Connection,
+    pub(crate) connection: CallerConnection,
     /// Ends the task of the connection when it is closed.
     registration: AbortRegistration,
     place: Option<(Rc<ConnectionTable>, ConnectionNumber)>,
@@ -80,7 +80,7 @@
     pub fn admit_without_place(&self, now: Instant) -> AdmittedConnection {
         let (abort, registration) = AbortHandle::new_pair();
         AdmittedConnection {
-            connection: Connection::new(self.memory.clone(), abort, now),
+            connection: CallerConnection::new(self.memory.clone(), abort, now),
             registration,
             place: None,
         }
@@ -103,7 +103,7 @@
     /// Returns [`Aborted`] if the connection was closed because its caller made no progress.
     pub async fn serve<F: Future>(
         self,
-        serve: impl FnOnce(Connection) -> F,
+        serve: impl FnOnce(CallerConnection) -> F,
     ) -> Result<F::Output, Aborted> {
         let served = Abortable::new(serve(self.connection), self.registration).await;
         if let Some((table, number)) = self.place {
--- a/caller-limits/src/held_bytes.rs
+++ b/caller-limits/src/held_bytes.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, Bytes};
 
-use crate::connection::Connection;
+use crate::caller_connection::CallerConnection;
 use crate::memory_pool::MemoryHold;
 
 /// Bytes of an answer, with their memory.
@@ -23,7 +23,7 @@
 
     /// Records that the bytes are sent on a connection, which ends if its caller doesn't read them
     /// while memory is short.
-    pub(crate) fn deliver(&self, connection: &Connection) {
+    pub(crate) fn deliver(&self, connection: &CallerConnection) {
         if let Some(hold) = &self.hold {
             hold.deliver(connection.abort_handle());
         }
--- a/caller-limits/src/lib.rs
+++ b/caller-limits/src/lib.rs
@@ -10,8 +10,8 @@
 mod answer_body;
 mod body_buffer;
 mod body_reader;
+mod caller_connection;
 mod caller_stream;
-mod connection;
 mod connection_table;
 #[cfg(test)]
 mod connection_tests;
@@ -25,8 +25,8 @@
 
 pub use answer_body::AnswerBody;
 pub use body_reader::{ReadFailure, read_whole_body};
+pub use caller_connection::CallerConnection;
 pub use caller_stream::CallerStream;
-pub use connection::Connection;
 pub use connection_table::{AdmittedConnection, ConnectionTable};
 pub use held_bytes::HeldBytes;
 pub use held_text::HeldText;
--- a/gateway/src/edge/accept.rs
+++ b/gateway/src/edge/accept.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use caller_limits::{AnswerBody, Connection, ConnectionTable};
+use caller_limits::{AnswerBody, CallerConnection, ConnectionTable};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use http::{Request, Response};
@@ -32,7 +32,7 @@
     handler: H,
 ) -> std::io::Result<()>
 where
-    H: Fn(Request<Incoming>, Connection) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + 'static,
     F: Future<Output = Response<EdgeBody>> + 'static,
 {
     loop {
@@ -67,10 +67,10 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     edge: Rc<Edge>,
-    connection: Connection,
+    connection: CallerConnection,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>, Connection) -> F + 'static,
+    H: Fn(Request<Incoming>, CallerConnection) -> F + 'static,
     F: Future<Output = Response<EdgeBody>> + 'static,
 {
     let stream = LingeringStream::new(stream, connection.clone());
--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use caller_limits::Connection;
+use caller_limits::CallerConnection;
 use compio::runtime::JoinHandle;
 use futures_util::stream;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -73,7 +73,7 @@
 pub(crate) fn relay_events(
     job: ForwardJob,
     exchange: EndpointExchange,
-    connection: Connection,
+    connection: CallerConnection,
 ) -> Response<EdgeBody> {
     let (source, parts) = StreamSource::new(exchange);
     let resumed_from = headers::text(
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use caller_limits::{BodyUse, Connection, HeldBytes, MemoryHold, ReadFailure, read_whole_body};
+use caller_limits::{
+    BodyUse, CallerConnection, HeldBytes, MemoryHold, ReadFailure, read_whole_body,
+};
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
@@ -151,7 +153,7 @@
 pub(crate) async fn forward_request(
     edge: Rc<Edge>,
     request: Request<Incoming>,
-    connection: Connection,
+    connection: CallerConnection,
 ) -> Response<EdgeBody> {
     let arrived = Instant::now();
     let id: CompactString = headers::text(request.headers(), &edge.dialect.headers.request_id)
@@ -185,7 +187,7 @@
 }
 
 /// Runs an admitted request within its time limit and the grace period of a shutdown.
-async fn run_job(mut job: ForwardJob, connection: Connection) -> Response<EdgeBody> {
+async fn run_job(mut job: ForwardJob, connection: CallerConnection) -> Response<EdgeBody> {
     let edge = Rc::clone(&job.edge);
     {
         let state = &mut *edge.state.borrow_mut();
--- a/gateway/src/edge/lingering_stream.rs
+++ b/gateway/src/edge/lingering_stream.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use caller_limits::{CallerStream, Connection};
+use caller_limits::{CallerConnection, CallerStream};
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
@@ -30,7 +30,7 @@
 }
 
 impl LingeringStream {
-    pub fn new(stream: TcpStream, connection: Connection) -> Self {
+    pub fn new(stream: TcpStream, connection: CallerConnection) -> Self {
         Self {
             stream: CallerStream::new(HyperStream::new_plain(stream), connection),
             written: None,
--- a/http-util/src/server.rs
+++ b/http-util/src/server.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes};
-use caller_limits::{AnswerBody, CallerStream, Connection, ConnectionTable, HeldBytes, MemoryPool};
+use caller_limits::{
+    AnswerBody, CallerConnection, CallerStream, ConnectionTable, HeldBytes, MemoryPool,
+};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_channel::mpsc;
@@ -80,7 +82,7 @@
     F: Future<Output = HttpReply> + 'static,
     R: Fn() -> Option<Bytes> + 'static,
 {
-    let connected = move |request, _: Connection| handler(request);
+    let connected = move |request, _: CallerConnection| handler(request);
     serve_http_with_memory(listener, limits, None, connected, rejected).await
 }
 
@@ -99,7 +101,7 @@
     rejected: R,
 ) -> std::io::Result<()>
 where
-    H: Fn(http::Request<Incoming>, Connection) -> F + Clone + 'static,
+    H: Fn(http::Request<Incoming>, CallerConnection) -> F + Clone + 'static,
     F: Future<Output = HttpReply> + 'static,
     R: Fn() -> Option<Bytes> + 'static,
 {
@@ -163,10 +165,10 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: ServerLimits,
-    connection: Connection,
+    connection: CallerConnection,
     handler: H,
 ) where
-    H: Fn(http::Request<Incoming>, Connection) -> F + 'static,
+    H: Fn(http::Request<Incoming>, CallerConnection) -> F + 'static,
     F: Future<Output = HttpReply> + 'static,
 {
     if stream.set_nodelay(true).is_err() {
--- a/src/caller_server.rs
+++ b/src/caller_server.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use caller_limits::{
-    BodyUse, Connection, HeldBytes, HeldText, MemoryHold, MemoryPool, ReadFailure, read_whole_body,
+    BodyUse, CallerConnection, HeldBytes, HeldText, MemoryHold, MemoryPool, ReadFailure,
+    read_whole_body,
 };
 use compact_str::CompactString;
 use compio::net::TcpListener;
@@ -139,7 +140,7 @@
 
 async fn handle_request<S: EventSink + Clone + 'static>(
     request: Request<Incoming>,
-    connection: Connection,
+    connection: CallerConnection,
     parts: ServerParts<S>,
 ) -> HttpReply {
     let sink = parts.sink.clone();
@@ -172,7 +173,7 @@
 async fn send_reply<S: EventSink + 'static>(
     reply: CallerReply,
     parts: ServerParts<S>,
-    connection: Connection,
+    connection: CallerConnection,
     guard: CallerGuard<S>,
 ) -> HttpReply {
     let hub = parts.hub;
