--- a/src/configs/operator.rs
+++ b/src/configs/operator.rs
@@ -7,7 +7,7 @@
     /// Connections at the same time; calls on further ones are refused with code 1110.
     pub max_connections: usize,
     /// Calls at the same time on all connections; further ones are refused with code 1309.
-    /// With the message size it bounds the memory that unverified operators can take to 128 MB.
+    /// Their messages draw from the account of memory.
     pub max_calls: usize,
     /// Calls at the same time on one connection.
     pub max_streams: u32,
