Test that shows a limit whose end nobody notices

An endpoint whose limit has ended stays out of use for as long as the hosts with a share of the limit get no requests: only their requests would show that it has ended.

--- a/gateway/tests/backpressure.rs
+++ b/gateway/tests/backpressure.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use gateway::backpressure::{
-    EndpointSignal, ReportedSignal, SenderView, SignalChange, SignalReport, SignalTable,
-    parse_pause, parse_rate_limit, sender_share,
+    EndpointSignal, ReportedSignal, SendPermission, SenderView, SignalChange, SignalReport,
+    SignalTable, parse_pause, parse_rate_limit, sender_share,
 };
 use gateway::membership::{MAX_DATAGRAM_BYTES, PeerMessage, SignalDigest};
 use rand::rngs::SmallRng;
@@ -429,6 +429,43 @@
     }
 }
 
+/// Guards against an endpoint that stays out of use after its limit has ended, because callers reach
+/// only hosts without a share of the limit.
+#[test]
+fn hosts_without_a_share_notice_the_end_of_a_limit() {
+    const REUSE_TIME: Duration = Duration::from_secs(4);
+    let start = Instant::now();
+    let view = SenderView {
+        counted: 9,
+        live: (0..9).map(host_address).collect(),
+    };
+    let tables = (0..9).map(|number| {
+        let mut table = SignalTable::default();
+        table.set_view(host_address(number), view.clone());
+        table.apply_signal(1, EndpointSignal::RateLimit(2_000), start, start);
+        table
+    });
+    let has_no_share =
+        |table: &mut SignalTable| table.permission(1, start) == SendPermission::NoShare;
+    let mut tables: Vec<_> = tables.collect();
+    tables.retain_mut(has_no_share);
+    assert!((1..9).contains(&tables.len()));
+    let mut now = start;
+    while now < start + REUSE_TIME {
+        now += STEP;
+        if tables
+            .iter_mut()
+            .any(|table| table.permission(1, now).is_granted())
+        {
+            return;
+        }
+    }
+    panic!(
+        "none of {} hosts without a share may ask the endpoint",
+        tables.len()
+    );
+}
+
 /// Guards against digests whose size grows with the fleet when all endpoints name a limit at once.
 #[test]
 fn digests_are_small_however_many_endpoints_name_limits() {
