--- a/gateway/src/edge/catalog_changes.rs
+++ b/gateway/src/edge/catalog_changes.rs
@@ -83,6 +83,9 @@
             let state = &mut *self.state.borrow_mut();
             let before = state.catalog.version();
             if !state.catalog.apply_configuration(snapshot) {
+                if version < before {
+                    log::info!(in_force = before, version = version; "config: older version skipped");
+                }
                 return;
             }
             log::info!(before = before, version = version; "config: in force");
