Store: positions are compared within the store's era

Callers saw routes of confirmed versions refused for good.

Cause: hosts identified what they have read by offsets alone. A store that comes back from an older copy gives offsets out again, so a version that was written again had a lower offset than the one already applied and was dropped, and records below the read position were never read. With hubs, relayed updates and peers' listings were dropped by the same comparison.

Change: a position is an era and an offset, in reads, in listings, between hosts and in the archive for peers. An order of a rollout that is written again keeps its verdict, which is recorded again. Removals of endpoints wait as after an outage.

--- a/gateway/src/catalog/removal_hold.rs
+++ b/gateway/src/catalog/removal_hold.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Records that the store came back from an older copy, which endpoints that have registered
+    /// since are missing from.
+    pub fn record_older_store(&mut self, now: Instant) {
+        self.hold_until = Some(now + REREGISTRATION_TIME);
+        self.is_confirmed = false;
+    }
+
     /// Sets whether peers currently confirm that they could reach the store for longer than live
     /// endpoints need to register again. In that case only this host lost the store, and missing
     /// endpoints are gone.
--- a/gateway/src/catalog/state.rs
+++ b/gateway/src/catalog/state.rs
@@ -51,6 +51,12 @@
         /// Number that increases with each order for a service.
         order: u64,
     },
+    /// The store had lost the order of a service, and the same order was written again.
+    RolloutRewritten {
+        service: ServiceName,
+        /// Its new number.
+        order: u64,
+    },
     RolloutWithdrawn(ServiceName),
 }
 
--- a/gateway/src/edge/catalog_changes.rs
+++ b/gateway/src/edge/catalog_changes.rs
@@ -45,6 +45,11 @@
                 }
                 self.advance_rollouts(now);
             }
+            CatalogChange::RolloutRewritten { service, order } => {
+                log::info!(service = service.as_str(), order = order; "rollout: order written again");
+                let rollouts = &mut self.state.borrow_mut().rollouts;
+                rollouts.renumber_order(&service, order);
+            }
             CatalogChange::RolloutWithdrawn(service) => {
                 log::info!(service = service.as_str(); "rollout: withdrawn");
                 self.state.borrow_mut().rollouts.withdraw_order(&service);
--- a/gateway/src/edge/store_updates.rs
+++ b/gateway/src/edge/store_updates.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 
 use super::state::Edge;
-use crate::membership::{FeedAction, FeedTopic, FeedUpdate, STORE_READERS};
+use crate::membership::{FeedAction, FeedTopic, FeedUpdate, LogPosition, STORE_READERS};
 
 /// Maximum number of characters of a store's key or of a cause in a log line.
 const MAX_LOGGED_CHARS: usize = 120;
@@ -33,18 +33,27 @@
         }
     }
 
-    /// Records that this host has read a topic of the store up to `next_offset`.
-    pub fn record_feed_position(&self, topic: FeedTopic, next_offset: u64, has_advanced: bool) {
+    /// Records that the store came back from an older copy.
+    pub fn record_older_store(&self, topic: FeedTopic) {
+        self.count("store_older");
+        if topic == FeedTopic::Endpoints {
+            let removals = &mut self.state.borrow_mut().removals;
+            removals.record_older_store(Instant::now());
+        }
+    }
+
+    /// Records that this host has read a topic of the store up to `next`.
+    pub fn record_feed_position(&self, topic: FeedTopic, next: LogPosition, has_advanced: bool) {
         let state = &mut *self.state.borrow_mut();
         state
             .feed_positions
-            .record_read(topic, next_offset, Instant::now());
+            .record_read(topic, next, Instant::now());
         state.feed_positions_changed |= has_advanced;
     }
 
-    /// Returns how this host obtains the updates of a topic from `next_offset` on.
+    /// Returns how this host obtains the updates of a topic from `next` on.
     #[must_use]
-    pub fn feed_action(&self, topic: FeedTopic, next_offset: u64) -> FeedAction {
+    pub fn feed_action(&self, topic: FeedTopic, next: LogPosition) -> FeedAction {
         let now = Instant::now();
         let state = self.state.borrow();
         let relayed = state.relay_plan.is_relayed();
@@ -56,18 +65,18 @@
         };
         state
             .feed_positions
-            .next_action(topic, next_offset, is_reader, relayed, now)
+            .next_action(topic, next, is_reader, relayed, now)
     }
 
-    /// Returns whether this host or a peer has recently reported an offset beyond `next_offset`.
+    /// Returns whether this host or a peer has recently reported a position beyond `next`.
     #[must_use]
-    pub fn is_behind(&self, topic: FeedTopic, next_offset: u64) -> bool {
+    pub fn is_behind(&self, topic: FeedTopic, next: LogPosition) -> bool {
         let state = self.state.borrow();
         let relayed = state.relay_plan.is_relayed();
         let newest = state
             .feed_positions
-            .latest_offset(topic, relayed, Instant::now());
-        newest.is_some_and(|offset| offset > next_offset)
+            .latest_position(topic, relayed, Instant::now());
+        newest.is_some_and(|position| position > next)
     }
 
     /// Queues an update read from the store for relaying if this host is a hub.
--- a/gateway/src/membership/feed_positions.rs
+++ b/gateway/src/membership/feed_positions.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::log_position::LogPosition;
 use crate::ids::{FastMap, FastSet, HostAddress};
 
 /// A topic of the store, named after the writers of its records.
@@ -42,8 +43,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedPosition {
     pub topic: FeedTopic,
-    /// Offset of the first record that the host has not read.
-    pub next_offset: u64,
+    /// Position of the first record that the host has not read.
+    pub next: LogPosition,
     /// Milliseconds since the store's answer that confirmed this position.
     pub age_ms: u32,
     /// Milliseconds for which the store had answered the host without a gap, up to that answer.
@@ -113,7 +114,7 @@
 /// The position of this host in a topic.
 #[derive(Debug)]
 struct OwnPosition {
-    next_offset: u64,
+    next: LogPosition,
     read_at: Instant,
     contact_since: Instant,
     /// When the contact before the last failed call began and ended.
@@ -140,7 +141,7 @@
     fn to_feed_position(&self, topic: FeedTopic, now: Instant) -> FeedPosition {
         FeedPosition {
             topic,
-            next_offset: self.next_offset,
+            next: self.next,
             age_ms: to_millis(now.duration_since(self.read_at)),
             contact_ms: to_millis(self.read_at.saturating_duration_since(self.contact_since)),
         }
@@ -154,19 +155,23 @@
     /// Topics for which the store answered this host's last request.
     answered: FastSet<FeedTopic>,
     peers: FastMap<HostAddress, Vec<(FeedPosition, Instant)>>,
-    /// The highest offset that any peer has reported for each topic.
-    highest_offsets: FastMap<FeedTopic, u64>,
+    /// The latest position that any peer has reported for each topic.
+    latest_positions: FastMap<FeedTopic, LogPosition>,
 }
 
 impl FeedPositions {
-    /// Records a read of this host, after which `next` is the first offset that it has not read.
-    pub fn record_read(&mut self, topic: FeedTopic, next: u64, now: Instant) {
+    /// Records a read of this host, after which `next` is the first position that it has not read.
+    ///
+    /// A contact with the store ends when the store comes back from an older copy, because endpoints
+    /// that have registered since then first have to do so again.
+    pub fn record_read(&mut self, topic: FeedTopic, next: LogPosition, now: Instant) {
         let previous = self.own.get(&topic);
+        let previous = previous.filter(|previous| previous.next.era == next.era);
         let contact_since = previous
             .filter(|previous| now.duration_since(previous.read_at) <= MAX_ANSWER_GAP)
             .map_or(now, |previous| previous.contact_since);
         let position = OwnPosition {
-            next_offset: next,
+            next,
             read_at: now,
             contact_since,
             earlier_contact: previous.and_then(|previous| previous.earlier_contact),
@@ -206,9 +211,9 @@
     ) -> bool {
         let mut has_advanced = false;
         for position in &positions {
-            let highest = self.highest_offsets.entry(position.topic).or_default();
-            has_advanced |= position.next_offset > *highest;
-            *highest = position.next_offset.max(*highest);
+            let latest = self.latest_positions.entry(position.topic).or_default();
+            has_advanced |= position.next > *latest;
+            *latest = position.next.max(*latest);
         }
         let positions = positions
             .into_iter()
@@ -314,11 +319,15 @@
     #[must_use]
     pub(crate) fn last_contact(&self, topic: FeedTopic, now: Instant) -> Option<ContactSpan> {
         let to_span = |(position, age)| ContactSpan::from_position(&position, age);
-        let spans = self.positions_with_age(topic, now).map(to_span);
-        let contact = ContactSpan::merge_latest(spans.collect())?;
+        let positions = self.positions_with_age(topic, now);
+        let era = positions.map(|(position, _)| position.next.era).max()?;
+        let is_current = |(position, _): &(FeedPosition, Duration)| position.next.era == era;
+        let positions = self.positions_with_age(topic, now).filter(is_current);
+        let contact = ContactSpan::merge_latest(positions.map(to_span).collect())?;
         let earlier = self.own.get(&topic).and_then(|own| own.earlier_span(now));
         Some(earlier.map_or(contact, |earlier| {
-            let peers: Vec<_> = self.peer_positions(topic, now).map(to_span).collect();
+            let peers = self.peer_positions(topic, now).filter(is_current);
+            let peers: Vec<_> = peers.map(to_span).collect();
             contact.extend_by_earlier(earlier, &peers)
         }))
     }
@@ -332,7 +341,7 @@
     pub fn next_action(
         &self,
         topic: FeedTopic,
-        next: u64,
+        next: LogPosition,
         is_reader: bool,
         relayed: bool,
         now: Instant,
@@ -340,24 +349,29 @@
         if is_reader || !self.answered.contains(&topic) {
             return FeedAction::Watch;
         }
-        match self.latest_offset(topic, relayed, now) {
+        match self.latest_position(topic, relayed, now) {
             None => FeedAction::Watch,
-            Some(offset) if offset > next => FeedAction::Fetch,
+            Some(position) if position > next => FeedAction::Fetch,
             Some(_) => FeedAction::Idle,
         }
     }
 
-    /// Returns the highest offset that this host or a peer has seen recently, or `None` if no host
+    /// Returns the latest position that this host or a peer has seen recently, or `None` if no host
     /// has read the topic recently.
     ///
     /// `relayed`: hubs pass positions on.
     #[must_use]
-    pub fn latest_offset(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Option<u64> {
+    pub fn latest_position(
+        &self,
+        topic: FeedTopic,
+        relayed: bool,
+        now: Instant,
+    ) -> Option<LogPosition> {
         let max_age = max_position_age(relayed);
         let recent = self
             .positions_with_age(topic, now)
             .filter(|(_, age)| *age <= max_age);
-        recent.map(|(position, _)| position.next_offset).max()
+        recent.map(|(position, _)| position.next).max()
     }
 }
 
--- a/gateway/src/membership/feed_updates.rs
+++ b/gateway/src/membership/feed_updates.rs
@@ -4,15 +4,16 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed_positions::FeedTopic;
+use super::log_position::LogPosition;
 
 /// One answer of the store to a read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedUpdate {
     pub topic: FeedTopic,
-    /// Offset at which the read began.
-    pub from_offset: u64,
-    /// Offset after the last record.
-    pub next_offset: u64,
+    /// Position at which the read began.
+    pub from: LogPosition,
+    /// Position after the last record.
+    pub next: LogPosition,
     /// The answer as the store encodes it. The adapter that read it decodes it.
     pub body: Vec<u8>,
 }
@@ -45,13 +46,13 @@
         std::mem::take(&mut self.waiting)
     }
 
-    /// Removes and returns the updates of one topic, ordered by their first offset.
+    /// Removes and returns the updates of one topic, ordered by where they begin.
     pub fn take_topic(&mut self, topic: FeedTopic) -> Vec<FeedUpdate> {
         let (mut taken, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
             .into_iter()
             .partition(|update| update.topic == topic);
         self.waiting = rest;
-        taken.sort_by_key(|update| update.from_offset);
+        taken.sort_by_key(|update| update.from);
         taken
     }
 }
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod host_selection;
 mod hub_choice;
 mod hubs;
+mod log_position;
 mod members;
 mod peer_message;
 mod relay_plan;
@@ -19,6 +20,7 @@
     CellSummary, HUBS_PER_CELL, HubSummary, HubSums, HubTally, HubTotals, MAX_DIRECT_HOSTS,
     MemberReport,
 };
+pub use log_position::LogPosition;
 pub use members::{MemberChange, MemberTable, MemberView};
 pub use peer_message::{
     MAX_DATAGRAM_BYTES, PeerHeartbeat, PeerMessage, QuarantineDigest, SignalDigest,
--- a/gateway/src/rollouts/controller.rs
+++ b/gateway/src/rollouts/controller.rs
@@ -242,6 +242,17 @@
         self.rollouts.insert(service, rollout);
     }
 
+    /// Gives the order of a service another number, because the store had lost the order and its
+    /// status. The status has to be recorded again.
+    pub fn renumber_order(&mut self, service: &ServiceName, order: u64) {
+        if let Some(rollout) = self.rollouts.get_mut(service)
+            && rollout.order < order
+        {
+            rollout.order = order;
+            rollout.is_recorded = false;
+        }
+    }
+
     /// Rolls a service's rollout back, unless it is completed, because its order was withdrawn.
     pub fn withdraw_order(&mut self, service: &ServiceName) {
         if let Some(rollout) = self.rollouts.get_mut(service) {
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -9,8 +9,8 @@
 use common::{heartbeat, host};
 use gateway::membership::{
     FeedAction, FeedPosition, FeedPositions, FeedTopic, FeedUpdate, HubChoice, HubSummary, HubSums,
-    HubTally, MAX_DATAGRAM_BYTES, MemberChange, MemberTable, PeerHeartbeat, PeerMessage,
-    SummaryOutcome, UpdateQueue,
+    HubTally, LogPosition, MAX_DATAGRAM_BYTES, MemberChange, MemberTable, PeerHeartbeat,
+    PeerMessage, SummaryOutcome, UpdateQueue,
 };
 use seeds::check_seeds;
 
@@ -137,41 +137,41 @@
     let now = Instant::now();
     let mut positions = FeedPositions::default();
     assert_eq!(
-        positions.latest_offset(FeedTopic::Operators, false, now),
+        positions.latest_position(FeedTopic::Operators, false, now),
         None
     );
     let position = |next, age_ms| FeedPosition {
         contact_ms: 0,
         topic: FeedTopic::Operators,
-        next_offset: next,
+        next: log_position(next),
         age_ms,
     };
     positions.apply_peer_positions(host(2), vec![position(7, 100)], now);
     positions.apply_peer_positions(host(3), vec![position(9, 5_000)], now);
     assert_eq!(
-        positions.latest_offset(FeedTopic::Operators, false, now),
-        Some(7)
+        positions.latest_position(FeedTopic::Operators, false, now),
+        Some(log_position(7))
     );
     assert_eq!(
-        positions.latest_offset(FeedTopic::Endpoints, false, now),
+        positions.latest_position(FeedTopic::Endpoints, false, now),
         None
     );
     let later = now + Duration::from_millis(1_100);
     assert_eq!(
-        positions.latest_offset(FeedTopic::Operators, false, later),
+        positions.latest_position(FeedTopic::Operators, false, later),
         None
     );
     assert_eq!(positions.own_positions(now), []);
     // The host's own read also replaces another one: each host of a starting fleet has listed all
     // records itself.
-    positions.record_read(FeedTopic::Operators, 4, later);
+    positions.record_read(FeedTopic::Operators, log_position(4), later);
     assert_eq!(
-        positions.latest_offset(FeedTopic::Operators, false, later),
-        Some(4)
+        positions.latest_position(FeedTopic::Operators, false, later),
+        Some(log_position(4))
     );
     let after = later + Duration::from_millis(1_200);
     assert_eq!(
-        positions.latest_offset(FeedTopic::Operators, false, after),
+        positions.latest_position(FeedTopic::Operators, false, after),
         None
     );
 }
@@ -185,13 +185,19 @@
     let mut positions = FeedPositions::default();
     let position = FeedPosition {
         topic: FeedTopic::Endpoints,
-        next_offset: 7,
+        next: log_position(7),
         age_ms: 100,
         contact_ms: 5_000,
     };
     positions.apply_peer_positions(host(2), vec![position], now);
     let next_action = |positions: &FeedPositions, next, is_reader| {
-        positions.next_action(FeedTopic::Endpoints, next, is_reader, true, now)
+        positions.next_action(
+            FeedTopic::Endpoints,
+            log_position(next),
+            is_reader,
+            true,
+            now,
+        )
     };
     assert_eq!(
         next_action(&positions, 7, false),
@@ -388,7 +394,7 @@
     let topic = FeedTopic::Endpoints;
     let mut peer = FeedPositions::default();
     for read in 0..10 {
-        peer.record_read(topic, 1, at(read * 300));
+        peer.record_read(topic, log_position(1), at(read * 300));
     }
     let mut own = FeedPositions::default();
     own.apply_peer_positions(host(1), peer.own_positions(at(2_800)), at(2_900));
@@ -405,10 +411,10 @@
     assert!(!own.is_contact_confirmed(topic, min_contact, false, at(4_100)));
     // After a failure or a gap the peer can't confirm the time before it.
     peer.record_failure(topic, at(2_900));
-    peer.record_read(topic, 1, at(3_000));
+    peer.record_read(topic, log_position(1), at(3_000));
     own.apply_peer_positions(host(1), peer.own_positions(at(3_000)), at(3_000));
     assert!(!own.is_contact_confirmed(topic, Duration::from_millis(2_300), false, at(3_000)));
-    peer.record_read(topic, 1, at(6_000));
+    peer.record_read(topic, log_position(1), at(6_000));
     own.apply_peer_positions(host(1), peer.own_positions(at(6_000)), at(6_000));
     assert!(!own.is_contact_confirmed(topic, Duration::from_millis(2_300), false, at(6_000)));
 }
@@ -424,10 +430,10 @@
     let reregistration_time = Duration::from_millis(2_300);
     let mut reader = FeedPositions::default();
     for read in 0..10 {
-        reader.record_read(topic, 5, at(read * 800));
+        reader.record_read(topic, log_position(5), at(read * 800));
     }
     let mut returned = FeedPositions::default();
-    returned.record_read(topic, 5, at(7_700));
+    returned.record_read(topic, log_position(5), at(7_700));
     let mut hub = FeedPositions::default();
     hub.apply_peer_positions(host(1), reader.own_positions(at(7_800)), at(7_800));
     hub.apply_peer_positions(host(2), returned.own_positions(at(7_800)), at(7_800));
@@ -457,25 +463,25 @@
     let min_contact = Duration::from_millis(2_300);
     let mut reader = FeedPositions::default();
     for read in 0..10 {
-        reader.record_read(topic, 5, at(read * 800));
+        reader.record_read(topic, log_position(5), at(read * 800));
     }
     reader.record_failure(topic, at(7_400));
     reader.record_failure(topic, at(7_700));
-    reader.record_read(topic, 5, at(8_000));
+    reader.record_read(topic, log_position(5), at(8_000));
     assert!(
         !reader.is_contact_confirmed(topic, min_contact, true, at(8_100)),
         "it alone"
     );
     let mut other = FeedPositions::default();
-    other.record_read(topic, 5, at(7_600));
-    other.record_read(topic, 5, at(7_900));
+    other.record_read(topic, log_position(5), at(7_600));
+    other.record_read(topic, log_position(5), at(7_900));
     reader.apply_peer_positions(host(1), other.own_positions(at(8_000)), at(8_000));
     assert!(reader.is_contact_confirmed(topic, min_contact, true, at(8_100)));
     // After an outage that no host has bridged, nothing of the time before it counts.
     reader.record_failure(topic, at(8_500));
     other.record_failure(topic, at(8_500));
-    reader.record_read(topic, 5, at(11_000));
-    other.record_read(topic, 5, at(11_000));
+    reader.record_read(topic, log_position(5), at(11_000));
+    other.record_read(topic, log_position(5), at(11_000));
     reader.apply_peer_positions(host(1), other.own_positions(at(11_000)), at(11_000));
     assert!(!reader.is_contact_confirmed(topic, min_contact, true, at(11_100)));
 }
@@ -490,11 +496,11 @@
     let topic = FeedTopic::Endpoints;
     let mut old_reader = FeedPositions::default();
     for read in 0..10 {
-        old_reader.record_read(topic, 5, at(read * 800));
+        old_reader.record_read(topic, log_position(5), at(read * 800));
     }
     let mut new_reader = FeedPositions::default();
-    new_reader.record_read(topic, 5, at(8_300));
-    new_reader.record_read(topic, 5, at(9_100));
+    new_reader.record_read(topic, log_position(5), at(8_300));
+    new_reader.record_read(topic, log_position(5), at(9_100));
     let mut hub = FeedPositions::default();
     hub.apply_peer_positions(host(1), old_reader.own_positions(at(7_400)), at(7_400));
     hub.apply_peer_positions(host(2), new_reader.own_positions(at(9_300)), at(9_300));
@@ -525,7 +531,7 @@
             let number = source.int_in_range(0..=HOSTS - 1)?;
             let answers = now < outage_start || now >= outage_end;
             match source.int_in_range(0..=3)? {
-                0 if answers => fleet[number].record_read(topic, 1, at(now)),
+                0 if answers => fleet[number].record_read(topic, log_position(1), at(now)),
                 0 => fleet[number].record_failure(topic, at(now)),
                 exchange => {
                     let positions = if exchange == 1 {
@@ -552,11 +558,16 @@
     });
 }
 
+/// Returns a position in the first era of a store.
+fn log_position(offset: u64) -> LogPosition {
+    LogPosition { era: 0, offset }
+}
+
 fn update(topic: FeedTopic, from: u64, bytes: usize) -> FeedUpdate {
     FeedUpdate {
         topic,
-        from_offset: from,
-        next_offset: from + 1,
+        from: log_position(from),
+        next: log_position(from + 1),
         body: vec![0; bytes],
     }
 }
@@ -571,7 +582,7 @@
     queue.push(update(FeedTopic::Endpoints, 10, 400));
     queue.push(update(FeedTopic::Endpoints, 30, 200));
     let taken = queue.take_topic(FeedTopic::Endpoints);
-    let from: Vec<_> = taken.iter().map(|update| update.from_offset).collect();
+    let from: Vec<_> = taken.iter().map(|update| update.from.offset).collect();
     assert_eq!(from, [10, 20]);
     assert_eq!(queue.take_all().len(), 1);
     queue.push(update(FeedTopic::Endpoints, 40, 900));
--- a/gateway/tests/rollouts.rs
+++ b/gateway/tests/rollouts.rs
@@ -518,6 +518,28 @@
     assert_eq!(permille(&mut completed, later), Some(0));
 }
 
+/// Guards against a verdict that is forgotten, or no longer recorded, because the store has lost the
+/// order and its status and the order is written again.
+#[test]
+fn the_verdict_on_an_order_that_is_written_again_is_recorded_again() {
+    let now = Instant::now();
+    let service = SERVICE.into();
+    let statuses = [StatusKind::RolledBack, StatusKind::Completed].map(|kind| {
+        let mut controller = controller_at(Some(kind), now);
+        assert_eq!(controller.statuses(now), []);
+        controller.renumber_order(&service, ORDER + 5);
+        let statuses = controller.statuses(now);
+        (statuses[0].order, statuses[0].kind)
+    });
+    assert_eq!(
+        statuses,
+        [
+            (ORDER + 5, StatusKind::RolledBack),
+            (ORDER + 5, StatusKind::Completed)
+        ]
+    );
+}
+
 /// Guards against a host that ignores its peers' verdict because its own runs were good, and
 /// against a resumed host that reverts a verdict.
 #[test]
