Configuration: a host takes a newer version from its peers

A host that starts after the store came back from an older copy served an older version for as long as nobody wrote, though its peers had a newer one.

Cause: hosts compared only how far they had read the store, so a host that had read all of an older store was not behind anybody.

Change: hosts and hubs name the version that they have in force. The version stands in the messages, not in the reports of members: there it made the largest summary exceed a datagram (the_largest_summary_fits_in_a_datagram).

--- a/gateway/src/edge/hosts.rs
+++ b/gateway/src/edge/hosts.rs
@@ -85,6 +85,16 @@
             .collect()
     }
 
+    /// Returns the control address of a reachable host that has the newest configuration, with its
+    /// version, if this host has an older one.
+    #[must_use]
+    pub fn newest_configuration_peer(&self) -> Option<(SocketAddr, u64)> {
+        let port = self.settings.control_address?.port();
+        let state = self.state.borrow();
+        let (host, version) = state.members.newest_configuration(Instant::now())?;
+        (version > state.catalog.version()).then(|| ((host, port).into(), version))
+    }
+
     /// Returns addresses of serving hosts for a caller in `zone`. They may include this host.
     pub(crate) fn directory_addresses(
         &self,
--- a/gateway/src/edge/peer_messages.rs
+++ b/gateway/src/edge/peer_messages.rs
@@ -171,6 +171,9 @@
                 state.members.record_alive(&summary.alive, now);
             }
             state.members.record_datagram(hub, now);
+            state
+                .members
+                .record_configuration(hub, summary.config_version);
             has_updates |= state
                 .feed_positions
                 .apply_peer_positions(hub, summary.positions, now);
@@ -373,6 +376,7 @@
             hub: self.settings.host,
             incarnation: self.incarnation,
             sequence: state.summary_number,
+            config_version: state.catalog.version(),
             loads: sums.loads,
             loads_zone: cell.filter(|_| round.reported_endpoints.is_some()).cloned(),
             usage: sums.usage,
@@ -431,6 +435,7 @@
                 leaving: state.leaving_since.is_some(),
                 cpu_permille: self.settings.cpu_permille,
             },
+            config_version: state.catalog.version(),
             positions: state.feed_positions.own_positions(now),
             loads: state.scheduler.load_reports(),
             paces: Vec::new(),
--- a/gateway/src/membership/hubs.rs
+++ b/gateway/src/membership/hubs.rs
@@ -46,6 +46,8 @@
     pub hub: HostAddress,
     pub incarnation: Incarnation,
     pub sequence: u64,
+    /// Version of the configuration that the hub has in force; 0 before the first one.
+    pub config_version: u64,
     /// Loads of all hosts except the receiver.
     pub loads: Vec<EndpointReport>,
     /// The zone whose endpoints `loads` covers; `None` if it covers all endpoints.
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -44,6 +44,8 @@
     /// When this host probed the member to find a hub; `None` after an answer.
     probed_at: Option<Instant>,
     added_at: Instant,
+    /// Version of the configuration that the last datagram of the member has named.
+    config_version: u64,
 }
 
 /// What a report changes in the table.
@@ -116,6 +118,7 @@
             hub_since: None,
             probed_at: None,
             added_at: now,
+            config_version: 0,
         });
         if member.last_heard.is_none() && !zone.is_empty() {
             member.report.zone = zone;
@@ -132,7 +135,11 @@
             self.add_registered_host(hub.host, hub.zone.clone(), hub.cpu_permille, now);
         }
         self.record_datagram(heartbeat.sender.host, now);
-        self.apply_report(heartbeat.sender.clone(), now)
+        let change = self.apply_report(heartbeat.sender.clone(), now);
+        if change != MemberChange::Stale {
+            self.record_configuration(heartbeat.sender.host, heartbeat.config_version);
+        }
+        change
     }
 
     /// Records that a datagram of a host arrived.
@@ -143,6 +150,13 @@
         }
     }
 
+    /// Records the version of the configuration that a host has in force.
+    pub fn record_configuration(&mut self, host: HostAddress, version: u64) {
+        if let Some(member) = self.members.get_mut(&host) {
+            member.config_version = version;
+        }
+    }
+
     /// Applies the report of a host that the host itself or a hub sent.
     pub fn apply_report(&mut self, report: MemberReport, now: Instant) -> MemberChange {
         if report.host == self.own {
@@ -330,6 +344,18 @@
             .collect()
     }
 
+    /// Returns a reachable host that has the newest configuration, and its version.
+    #[must_use]
+    pub fn newest_configuration(&self, now: Instant) -> Option<(HostAddress, u64)> {
+        let reachable = self
+            .members
+            .iter()
+            .filter(|(_, member)| is_reachable(member, now));
+        reachable
+            .map(|(host, member)| (*host, member.config_version))
+            .max_by_key(|(_, version)| *version)
+    }
+
     /// Returns up to `max_hosts` reachable hosts, for a heartbeat.
     #[must_use]
     pub fn reachable(&self, max_hosts: usize, now: Instant) -> Vec<HostAddress> {
--- a/gateway/src/membership/peer_message.rs
+++ b/gateway/src/membership/peer_message.rs
@@ -19,6 +19,8 @@
     /// The state of the sender. Its sequence number increases with each heartbeat; receivers
     /// discard a heartbeat that arrives after a newer one.
     pub sender: MemberReport,
+    /// Version of the configuration that the sender has in force; 0 before the first one.
+    pub config_version: u64,
     /// How far the sender has read the store.
     pub positions: Vec<FeedPosition>,
     pub loads: Vec<EndpointReport>,
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -28,6 +28,7 @@
             leaving: false,
             cpu_permille: 250,
         },
+        config_version: 0,
         positions: Vec::new(),
         loads: Vec::new(),
         paces: Vec::new(),
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -325,6 +325,7 @@
         hub: host(hub),
         incarnation: 1,
         sequence,
+        config_version: u64::MAX,
         loads: Vec::new(),
         loads_zone: None,
         usage: Vec::new(),
