Isolation: a host that reaches no endpoint passes its requests to other hosts

Callers at hosts that were cut off from all endpoints were not served, and with connections that hang the other hosts refused their callers too.

Cause: a host tried its own links only, and blocked endpoints one by one. It never concluded that the fault was its own. Requests on silent connections kept places in the loads that hosts report, so that the others found none free.

Change: a host watches whether any endpoint answers on a new connection. When endpoints fail or all are silent it probes others; if none can be reached it is isolated: it closes idle connections, reports no load and passes its requests, after its own admission, to hosts that reach endpoints. The receiving host neither checks the key nor charges usage again, never passes a request on, and answers 421 if it sent it nowhere, so that a third host is asked. Connections to that port are taken from known hosts only, requests only with the incarnation of their host. Requests that wait, and silent ones that may run again, move too. While connections can be opened, one request that may run again each 0.5 s shows whether endpoints answer.

--- a/gateway/src/edge/accept.rs
+++ b/gateway/src/edge/accept.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves HTTP/1.1 on them.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -25,10 +26,13 @@
 /// When all places of `connections` are taken, connections that make no progress are closed for new
 /// ones; if all make progress, new ones are closed without being read. Connections that are accepted
 /// after the host's stop gate has opened take no place: the exit does not wait for these.
+///
+/// Connections from addresses for which `is_allowed` returns false are closed without being read.
 pub(crate) async fn serve_connections<H, F>(
     listener: TcpListener,
     edge: Rc<Edge>,
     connections: Rc<ConnectionTable>,
+    is_allowed: fn(&Edge, IpAddr) -> bool,
     handler: H,
 ) -> std::io::Result<()>
 where
@@ -40,6 +44,11 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
+        let address = stream.peer_addr().map(|address| address.ip());
+        if !address.is_ok_and(|address| is_allowed(&edge, address)) {
+            edge.count("connection_stranger");
+            continue;
+        }
         let admitted = if edge.stop_gate.is_open() {
             Some(connections.admit_without_place(Instant::now()))
         } else {
--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -6,15 +6,17 @@
 use bytes::Bytes;
 use caller_limits::{BodyUse, MemoryHold, ReadFailure, read_whole_body};
 use compact_str::CompactString;
+use http::Request;
+use http::header::HOST;
 use http::request::Parts;
 use http::uri::PathAndQuery;
-use http::{Request, header};
 use http_util::head_bytes;
 use hyper::body::Incoming;
 
 use super::forward::{ForwardError, ForwardJob};
 use super::headers;
 use super::in_flight::InFlightGuard;
+use super::peer_relay::{RequestOrigin, remove_relay_headers};
 use super::reply::EdgeFault;
 use super::state::Edge;
 use crate::catalog::{CallerLimits, RouteEntry, RoutingTable, WorkspaceEntry};
@@ -36,6 +38,7 @@
     request: Request<Incoming>,
     id: &CompactString,
     arrived: Instant,
+    origin: RequestOrigin,
 ) -> Result<ForwardJob, ForwardError> {
     let (routing, limits, version) = {
         let state = edge.state.borrow();
@@ -51,24 +54,24 @@
             retry_after: Some(UNCONFIGURED_RETRY_AFTER),
         });
     }
-    if head_bytes(&request) > limits.max_header_bytes {
+    if origin == RequestOrigin::Caller && head_bytes(&request) > limits.max_header_bytes {
         return Err(EdgeFault::HeadTooLarge.into());
     }
     let in_flight = InFlightGuard::new(edge, id);
     let (parts, body) = request.into_parts();
     let names = &edge.dialect.headers;
-    let host = headers::text(&parts.headers, &header::HOST)
+    let header = |name| headers::text(&parts.headers, name);
+    let host = header(&HOST)
         .or_else(|| parts.uri.host())
         .unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let route = routing
         .find_route(host, parts.uri.path())
         .ok_or(EdgeFault::NoRoute)?;
-    let workspace = find_workspace(
-        &routing,
-        route,
-        headers::text(&parts.headers, &names.api_key),
-    )?;
+    let workspace = match origin {
+        RequestOrigin::Caller => find_workspace(&routing, route, header(&names.api_key))?,
+        RequestOrigin::Host { .. } => find_named_workspace(&routing, header(&names.workspace))?,
+    };
     let (body, body_memory) = read_request_body(edge, body, &limits).await?;
     // The body may have taken long: the shutdown may have started since the head arrived.
     if is_too_late(edge) {
@@ -81,24 +84,27 @@
             retry_after: Some(retry_after),
         });
     }
-    let usage = headers::text(&parts.headers, &names.token_usage)
-        .and_then(|text| (edge.dialect.parse_usage)(text));
-    let hint = headers::text(&parts.headers, &names.length_hint).and_then(|text| text.parse().ok());
+    let usage = header(&names.token_usage).and_then(|text| (edge.dialect.parse_usage)(text));
+    let hint = header(&names.length_hint).and_then(|text| text.parse().ok());
     let expected_output = expected_output(usage, hint);
-    if let Some(workspace) = &workspace {
+    if let Some(workspace) = &workspace
+        && origin == RequestOrigin::Caller
+    {
         admit_usage(edge, id, workspace, usage)?;
     }
     let service = route
         .pick_target(edge.random_fraction())
         .cloned()
         .ok_or(EdgeFault::NoRoute)?;
-    let timeout = headers::text(&parts.headers, &names.deadline_ms)
+    let timeout = header(&names.deadline_ms)
         .and_then(|text| text.parse().ok())
         .map_or(route.timeout, Duration::from_millis)
         .min(route.timeout);
     let workspace_name = workspace.as_ref().map(|workspace| workspace.name.as_str());
+    let mut headers = headers::for_endpoint(&parts.headers, names, workspace_name);
+    remove_relay_headers(&mut headers);
     Ok(ForwardJob {
-        headers: headers::for_endpoint(&parts.headers, names, workspace_name),
+        headers,
         edge: Rc::clone(edge),
         id: id.clone(),
         route: Rc::clone(route),
@@ -114,14 +120,17 @@
         arrived,
         deadline: arrived + timeout,
         tried: Vec::new(),
-        runs: 0,
+        runs: origin.runs(),
         dispatches: 0,
         waited: Duration::ZERO,
         first_byte: None,
-        is_counted: false,
+        // The host that passed the request on counts it.
+        is_counted: origin.is_host(),
         next_run: None,
         dispatched_at: None,
         is_hedged: false,
+        relay: origin.into(),
+        is_sent: false,
         in_flight,
     })
 }
@@ -199,6 +208,17 @@
     Ok(workspace)
 }
 
+/// Returns the workspace that a host has found for the key of a request, if there was any.
+fn find_named_workspace(
+    routing: &RoutingTable,
+    name: Option<&str>,
+) -> Result<Option<Rc<WorkspaceEntry>>, EdgeFault> {
+    let Some(name) = name else { return Ok(None) };
+    let mut workspaces = routing.workspaces();
+    let workspace = workspaces.find(|workspace| workspace.name == name);
+    workspace.cloned().map(Some).ok_or(EdgeFault::UnknownKey)
+}
+
 /// Charges the usage of a request to its workspace, or rejects the request if that exceeds the cap.
 fn admit_usage(
     edge: &Rc<Edge>,
--- a/gateway/src/edge/connection_pool.rs
+++ b/gateway/src/edge/connection_pool.rs
@@ -1,7 +1,7 @@
 //! Pool of idle connections to endpoints.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -35,9 +35,13 @@
 }
 
 impl EndpointConnection {
-    async fn open(address: SocketAddr) -> std::io::Result<Self> {
+    async fn open(address: SocketAddr, local: Option<IpAddr>) -> std::io::Result<Self> {
+        let connection = match local {
+            Some(local) => KeepAliveConnection::open_from(local, address, CONNECT_TIMEOUT).await?,
+            None => KeepAliveConnection::open(address, CONNECT_TIMEOUT).await?,
+        };
         Ok(Self {
-            connection: KeepAliveConnection::open(address, CONNECT_TIMEOUT).await?,
+            connection,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             reused: false,
@@ -79,12 +83,17 @@
 }
 
 impl ConnectionPool {
-    /// Removes and returns an idle connection, or opens a new one.
-    pub async fn acquire(&self, endpoint: &EndpointEntry) -> std::io::Result<EndpointConnection> {
+    /// Removes and returns an idle connection, or opens a new one. `local`: address from which it is
+    /// opened, if the peer has to recognize it.
+    pub async fn acquire(
+        &self,
+        endpoint: &EndpointEntry,
+        local: Option<IpAddr>,
+    ) -> std::io::Result<EndpointConnection> {
         if let Some(connection) = self.acquire_idle(endpoint) {
             return Ok(connection);
         }
-        EndpointConnection::open(endpoint.address).await
+        EndpointConnection::open(endpoint.address, local).await
     }
 
     fn acquire_idle(&self, endpoint: &EndpointEntry) -> Option<EndpointConnection> {
@@ -124,6 +133,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes all idle connections to an endpoint.
     pub fn close_endpoint(&self, id: &str) {
         self.idle.borrow_mut().retain(|(known, _), _| known != id);
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -1,6 +1,5 @@
 //! Sends a request to one endpoint and checks the head of its response.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,8 +13,8 @@
 use super::failover::{AnswerWait, wait_or_fail_over};
 use super::forward::{EndpointExchange, ForwardJob};
 use super::headers;
+use super::peer_relay::add_relay_headers;
 use super::placement::PlacedRun;
-use crate::catalog::EndpointEntry;
 use crate::quarantine::QuarantineVerdict;
 use crate::scheduler::RunEnd;
 
@@ -26,6 +25,9 @@
 /// process.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
+/// Silence after which an isolated host gives a trial of an endpoint up.
+const TRIAL_TIME: Duration = Duration::from_millis(400);
+
 /// Reason for which a dispatch returned no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DispatchFailure {
@@ -42,6 +44,8 @@
     Failed,
     /// The request holds a content that crashes endpoints, and was not sent.
     Quarantined,
+    /// Another host did not take the request.
+    NotRelayed,
 }
 
 impl DispatchFailure {
@@ -54,6 +58,7 @@
             Self::Silent => "retry_silent",
             Self::Failed => "retry_failed",
             Self::Quarantined => "quarantined_unsent",
+            Self::NotRelayed => "relay_not_taken",
         }
     }
 }
@@ -66,30 +71,33 @@
     mut run: PlacedRun,
     resume_after: Option<u64>,
 ) -> Result<EndpointExchange, DispatchFailure> {
-    match job.edge.admit_dispatch(&job.contents) {
-        QuarantineVerdict::Permitted => {}
-        QuarantineVerdict::Trial => run.is_trial = true,
-        QuarantineVerdict::Blocked(_) => {
-            run.end(RunEnd::Abandoned);
-            return Err(DispatchFailure::Quarantined);
+    job.relay.is_current = run.is_at_host();
+    if run.is_at_host() {
+        job.relay.hosts += 1;
+        job.edge.count("relay_sent");
+    } else {
+        match job.edge.admit_dispatch(&job.contents) {
+            QuarantineVerdict::Permitted => {}
+            QuarantineVerdict::Trial => run.is_trial = true,
+            QuarantineVerdict::Blocked(_) => {
+                run.end(RunEnd::Abandoned);
+                return Err(DispatchFailure::Quarantined);
+            }
         }
+        job.dispatches += 1;
     }
-    let endpoint = Rc::clone(&run.endpoint);
-    job.tried.push(endpoint.id.clone());
-    job.dispatches += 1;
-    let acquired = match run.connection.take() {
-        Some(connection) => Ok(connection),
-        None => job.edge.pool.acquire(&endpoint).await,
-    };
-    let Ok(mut connection) = acquired else {
+    job.tried.push(run.endpoint.id.clone());
+    let Ok(mut connection) = run.connect().await else {
         run.end(RunEnd::Unreachable);
         return Err(DispatchFailure::Unreachable);
     };
-    let request = endpoint_request(job, &endpoint, resume_after);
     let asked = Instant::now();
     job.dispatched_at = Some(asked);
     job.runs += 1;
+    let request = endpoint_request(job, &run, resume_after);
     job.in_flight.record_sent();
+    job.is_sent = true;
+    run.record_sent(!connection.reused);
     let sending = connection.send(request);
     let sent = match wait_or_fail_over(job, silence_limit(job), sending).await {
         AnswerWait::Ended(sent) => sent,
@@ -125,11 +133,12 @@
 /// Decides from its head whether a response may be passed on.
 fn check_head(
     job: &mut ForwardJob,
-    run: PlacedRun,
+    mut run: PlacedRun,
     mut connection: EndpointConnection,
     response: Response<Incoming>,
     asked: Instant,
 ) -> Result<EndpointExchange, DispatchFailure> {
+    run.record_answer();
     let names = &job.edge.dialect.headers;
     let status = response.status();
     let head = response.headers();
@@ -141,9 +150,16 @@
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         job.runs -= 1;
+        if run.is_at_host() {
+            job.edge.avoid_relay(run.endpoint.address);
+            return Err(DispatchFailure::NotRelayed);
+        }
         run.end(RunEnd::Misdirected);
         return Err(DispatchFailure::NotRun);
     }
+    if run.is_at_host() {
+        return check_relayed_head(job, run, connection, response, asked);
+    }
     record_signals(&job.edge, &run.endpoint, status, head, asked);
     job.edge.record_endpoint_alive(&run.endpoint, asked);
     if head.contains_key(&names.not_run) {
@@ -173,6 +189,40 @@
     })
 }
 
+/// Decides whether the response of a host that has taken a request may be passed on. The host has
+/// checked that of the endpoint, and its own errors are final.
+fn check_relayed_head(
+    job: &mut ForwardJob,
+    run: PlacedRun,
+    mut connection: EndpointConnection,
+    response: Response<Incoming>,
+    asked: Instant,
+) -> Result<EndpointExchange, DispatchFailure> {
+    let status = response.status();
+    let is_unsigned = status.is_success()
+        && !response
+            .headers()
+            .contains_key(&job.edge.dialect.headers.signature);
+    if is_unsigned {
+        return Err(DispatchFailure::MayHaveRun);
+    }
+    if promises_not_run(status) {
+        job.runs -= 1;
+        if job.runs > 0 {
+            // The promise does not cover the earlier run.
+            return Err(DispatchFailure::NotRelayed);
+        }
+    } else if !status.is_success() || !job.route.kind.is_stream() {
+        job.record_begun(asked);
+    }
+    connection.apply_keep_alive(keep_alive_seconds(response.headers()));
+    Ok(EndpointExchange {
+        run,
+        connection,
+        response,
+    })
+}
+
 /// Returns whether a status can be that of a final answer. The HTTP library discards interim
 /// responses, except for a switch of protocols that nobody asked for, and accepts statuses up to 999.
 fn is_final_status(status: StatusCode) -> bool {
@@ -202,6 +252,13 @@
 /// request may not run again.
 pub(crate) fn silence_limit(job: &ForwardJob) -> Option<Duration> {
     let lost_limit = lost_limit(job)?;
+    if job.relay.is_current {
+        // The other host replaces a silent endpoint itself.
+        return Some(lost_limit * 2);
+    }
+    if job.edge.is_isolated() {
+        return Some(TRIAL_TIME);
+    }
     Some(
         job.hedge_delay()
             .map_or(lost_limit, |delay| delay.min(lost_limit)),
@@ -218,10 +275,10 @@
     Some(time_limit.mul_f64(SILENCE_FRACTION).max(MIN_SILENCE))
 }
 
-/// Builds the request for one endpoint.
+/// Builds the request for one endpoint, or for a host that passes it on.
 fn endpoint_request(
     job: &ForwardJob,
-    endpoint: &EndpointEntry,
+    run: &PlacedRun,
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let names = &job.edge.dialect.headers;
@@ -234,7 +291,9 @@
         names.deadline_ms.clone(),
         HeaderValue::from(u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
     );
-    if let Ok(value) = HeaderValue::from_str(&endpoint.id) {
+    if run.is_at_host() {
+        add_relay_headers(job, &mut headers);
+    } else if let Ok(value) = HeaderValue::from_str(&run.endpoint.id) {
         headers.insert(names.expected_endpoint.clone(), value);
     }
     if let Some(id) = resume_after {
--- a/gateway/src/edge/failover.rs
+++ b/gateway/src/edge/failover.rs
@@ -36,9 +36,19 @@
     let Some(limit) = limit else {
         return AnswerWait::Ended(answer.await);
     };
-    match compio::time::timeout(limit, answer.as_mut()).await {
-        Ok(ended) => AnswerWait::Ended(ended),
-        Err(_) => fail_over(job, answer).await,
+    let edge = Rc::clone(&job.edge);
+    let is_relayable = !job.relay.is_current && !job.relay.origin.is_host() && !edge.is_isolated();
+    let patience = async {
+        let waiting = compio::time::sleep(limit);
+        if is_relayable {
+            select(pin!(waiting), pin!(edge.wait_until_isolated())).await;
+        } else {
+            waiting.await;
+        }
+    };
+    match select(answer.as_mut(), pin!(patience)).await {
+        Either::Left((ended, _)) => AnswerWait::Ended(ended),
+        Either::Right(_) => fail_over(job, answer).await,
     }
 }
 
@@ -48,7 +58,12 @@
     job: &mut ForwardJob,
     mut answer: Pin<&mut F>,
 ) -> AnswerWait<T> {
-    let hedge = match HedgePermit::take_if_early(job) {
+    let early_send = if job.edge.is_isolated() {
+        EarlySend::Lost
+    } else {
+        HedgePermit::take_if_early(job)
+    };
+    let hedge = match early_send {
         EarlySend::Lost => None,
         EarlySend::Permitted(permit) => Some(permit),
         EarlySend::Denied(rest) => match compio::time::timeout(rest, answer.as_mut()).await {
@@ -103,7 +118,7 @@
 /// names some that have crashed. Otherwise returns the cause.
 async fn place_reachable(job: &mut ForwardJob) -> Result<PlacedRun, &'static str> {
     let mut run = place_job(job).await.map_err(|_| "no_other_endpoint")?;
-    let Ok(connection) = job.edge.pool.acquire(&run.endpoint).await else {
+    let Ok(connection) = run.connect().await else {
         run.end(RunEnd::Unreachable);
         return Err("retry_unreachable");
     };
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards a caller's request to endpoints until one of them returns a final response.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
     BodyUse, CallerConnection, HeldBytes, MemoryHold, ReadFailure, read_whole_body,
 };
 use compact_str::CompactString;
+use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 
@@ -19,6 +21,7 @@
 use super::failover::{AnswerWait, wait_or_fail_over};
 use super::headers;
 use super::in_flight::InFlightGuard;
+use super::peer_relay::{RelayProgress, RequestOrigin, place_at_peer, take_trial};
 use super::placement::{PlacedRun, place_request};
 use super::reply::{EdgeFault, fault_reply};
 use super::state::Edge;
@@ -34,6 +37,8 @@
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum number of dispatches of one request, including those that did not run.
 const MAX_DISPATCHES: u32 = 4;
+/// Maximum wait of an isolated host's request for a place at an endpoint.
+const MAX_TRIAL_WAIT: Duration = Duration::from_millis(100);
 /// Margin before the deadline that is reserved for sending the final response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 
@@ -76,6 +81,9 @@
     pub dispatched_at: Option<Instant>,
     /// Whether that place was granted because the current endpoint is slow, which is no fault of it.
     pub is_hedged: bool,
+    pub relay: RelayProgress,
+    /// Whether the request was sent to an endpoint or another host.
+    pub is_sent: bool,
     /// Counts the request until its response is complete.
     pub in_flight: InFlightGuard,
 }
@@ -126,6 +134,16 @@
     }
 }
 
+impl ForwardError {
+    /// Returns the error as a host that has passed the request on needs it.
+    fn for_origin(self, origin: RequestOrigin, is_sent: bool) -> Self {
+        if origin.is_host() && self.fault.is_local(is_sent) {
+            return EdgeFault::NotRelayed.into();
+        }
+        self
+    }
+}
+
 impl From<EdgeFault> for ForwardError {
     fn from(fault: EdgeFault) -> Self {
         Self {
@@ -154,17 +172,18 @@
     edge: Rc<Edge>,
     request: Request<Incoming>,
     connection: CallerConnection,
+    origin: RequestOrigin,
 ) -> Response<EdgeBody> {
     let arrived = Instant::now();
     let id: CompactString = headers::text(request.headers(), &edge.dialect.headers.request_id)
         .unwrap_or("-")
         .into();
-    let mut reply = match admit_request(&edge, request, &id, arrived).await {
+    let mut reply = match admit_request(&edge, request, &id, arrived, origin).await {
         Ok(job) => {
             connection.begin_answer();
             run_job(job, connection).await
         }
-        Err(error) => refuse(&edge, &id, arrived, &error),
+        Err(error) => refuse(&edge, &id, arrived, &error.for_origin(origin, false)),
     };
     if edge.state.borrow().leaving_since.is_some() {
         let headers = reply.headers_mut();
@@ -191,7 +210,9 @@
     let edge = Rc::clone(&job.edge);
     {
         let state = &mut *edge.state.borrow_mut();
-        state.budget.record_request(&job.service, job.arrived);
+        if !job.relay.origin.is_host() {
+            state.budget.record_request(&job.service, job.arrived);
+        }
         state.hedging.record_request();
     }
     // The future is large, and those of all callers' connections are moved around.
@@ -202,6 +223,9 @@
             return relay_events(job, *exchange, connection);
         }
         Some(Ok(EndpointReply::Complete(reply))) => {
+            if job.runs == 0 {
+                refund_usage(&job);
+            }
             log_request_end(&job, reply.status(), "answered");
             return reply;
         }
@@ -209,6 +233,7 @@
         None if job.runs > 0 => EdgeFault::GraceEnded.into(),
         None => ForwardError::stopping(),
     };
+    let error = error.for_origin(job.relay.origin, job.is_sent);
     if job.runs == 0 {
         refund_usage(&job);
     }
@@ -243,7 +268,9 @@
 
 /// Refunds the usage charged to the workspace of a request that did not run.
 fn refund_usage(job: &ForwardJob) {
-    if let Some(workspace) = &job.workspace {
+    if let Some(workspace) = &job.workspace
+        && !job.relay.origin.is_host()
+    {
         let state = &mut *job.edge.state.borrow_mut();
         state.caps.refund(&workspace.name, total_tokens(job.usage));
     }
@@ -292,7 +319,8 @@
     }
 }
 
-/// Requests an endpoint from the scheduler that has not received this request yet.
+/// Requests a place at an endpoint that has not received this request yet, or at another host while
+/// this one reaches no endpoint.
 pub(crate) async fn place_job(job: &mut ForwardJob) -> Result<PlacedRun, ForwardError> {
     if let Some(run) = job.next_run.take() {
         return Ok(run);
@@ -300,6 +328,47 @@
     if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
         return Err(quarantine_error(job, retry_after));
     }
+    if job.relay.origin.is_host() && job.edge.is_isolated() {
+        return Err(if job.is_sent {
+            EdgeFault::EndpointBroken.into()
+        } else {
+            EdgeFault::NotRelayed.into()
+        });
+    }
+    if take_trial(job) {
+        let placing = place_at_endpoint(job);
+        if let Ok(Ok(run)) = compio::time::timeout(MAX_TRIAL_WAIT, placing).await {
+            return Ok(run);
+        }
+    }
+    if let Some(run) = place_at_peer(job) {
+        return Ok(run);
+    }
+    if job.edge.is_isolated() {
+        if job.runs == 0 && !job.route.kind.is_repeatable() && !job.edge.may_reach_endpoints() {
+            // The request would be lost on a connection that hangs.
+            return Err(ForwardError {
+                fault: EdgeFault::NoEndpoint,
+                retry_after: Some(REFUSED_RETRY_AFTER),
+            });
+        }
+        return place_at_endpoint(job).await;
+    }
+    let edge = Rc::clone(&job.edge);
+    match select(
+        pin!(place_at_endpoint(job)),
+        pin!(edge.wait_until_isolated()),
+    )
+    .await
+    {
+        Either::Left((placement, _)) => return placement,
+        Either::Right(_) => {}
+    }
+    Box::pin(place_job(job)).await
+}
+
+/// Requests an endpoint from the scheduler.
+async fn place_at_endpoint(job: &mut ForwardJob) -> Result<PlacedRun, ForwardError> {
     let (prompt_tokens, _) = job.usage.unwrap_or_default();
     let item = WorkItem {
         ticket: 0,
@@ -352,6 +421,10 @@
     if job.next_run.is_some() {
         return true;
     }
+    if failure == DispatchFailure::NotRelayed {
+        // Nothing was sent to an endpoint.
+        return Instant::now() < job.deadline;
+    }
     if job.dispatches >= MAX_DISPATCHES || Instant::now() >= job.deadline {
         return false;
     }
@@ -360,7 +433,7 @@
     }
     let allowed = match failure {
         DispatchFailure::Quarantined => return false,
-        DispatchFailure::Unreachable => return true,
+        DispatchFailure::Unreachable | DispatchFailure::NotRelayed => return true,
         DispatchFailure::NotRun => true,
         DispatchFailure::MayHaveRun | DispatchFailure::Silent | DispatchFailure::Failed => {
             job.may_run_again()
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::connection_pool::EndpointConnection;
+use super::forward::ForwardJob;
 use super::quarantine_control::hex_list;
 use super::state::Edge;
 use crate::catalog::EndpointEntry;
@@ -87,6 +88,8 @@
             first_event: None,
             is_trial: false,
             has_succeeded: false,
+            target: RunTarget::Endpoint,
+            answered_at: None,
         }),
         Ok(Placement::Refused {
             reason,
@@ -97,6 +100,14 @@
     }
 }
 
+/// What a run is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunTarget {
+    Endpoint,
+    /// Another host, which passes the request to an endpoint.
+    Host,
+}
+
 /// One run at an endpoint. Dropping it reports the run as abandoned.
 pub(crate) struct PlacedRun {
     edge: Rc<Edge>,
@@ -118,17 +129,92 @@
     pub is_trial: bool,
     /// Whether the endpoint has answered with success, other than by a stream.
     pub has_succeeded: bool,
+    target: RunTarget,
+    /// When bytes of the answer arrived first.
+    answered_at: Option<Instant>,
 }
 
 impl PlacedRun {
+    /// Returns a run at another host, which places the request at an endpoint.
+    pub fn at_peer(edge: Rc<Edge>, peer: Rc<EndpointEntry>, job: &ForwardJob) -> Self {
+        Self {
+            edge,
+            endpoint: peer,
+            connection: None,
+            ticket: 0,
+            route: job.route.name.clone(),
+            contents: Rc::clone(&job.contents),
+            expected_events: 0.0,
+            size_factor: 1.0,
+            placed_at: Instant::now(),
+            ended: false,
+            events: 0,
+            first_event: None,
+            is_trial: false,
+            has_succeeded: false,
+            target: RunTarget::Host,
+            answered_at: None,
+        }
+    }
+
+    /// Returns whether the run is at another host.
+    pub fn is_at_host(&self) -> bool {
+        self.target == RunTarget::Host
+    }
+
+    /// Takes the connection that was acquired in advance, or acquires one.
+    pub async fn connect(&mut self) -> std::io::Result<EndpointConnection> {
+        if let Some(connection) = self.connection.take() {
+            return Ok(connection);
+        }
+        let local = self.is_at_host().then_some(self.edge.settings.host);
+        let acquired = self.edge.pool.acquire(&self.endpoint, local).await;
+        if acquired.is_err() && self.is_at_host() {
+            self.edge.avoid_relay(self.endpoint.address);
+        }
+        acquired
+    }
+
+    /// Records that the request is sent. `is_fresh`: on a new connection.
+    pub fn record_sent(&self, is_fresh: bool) {
+        if self.is_at_host() {
+            return;
+        }
+        let contact = &mut *self.edge.contact.borrow_mut();
+        contact.record_sent(self.ticket, &self.endpoint.id, is_fresh, Instant::now());
+    }
+
+    /// Records that bytes of the answer arrived.
+    pub fn record_answer(&mut self) {
+        if self.is_at_host() {
+            return;
+        }
+        let change = {
+            let contact = &mut *self.edge.contact.borrow_mut();
+            if self.answered_at.is_some() {
+                contact.record_bytes()
+            } else {
+                self.answered_at = Some(Instant::now());
+                contact.record_answer(self.ticket)
+            }
+        };
+        self.edge.apply_contact_change(change);
+    }
+
     /// Reports the first byte of the response to the scheduler.
     pub fn record_first_byte(&self) {
+        if self.is_at_host() {
+            return;
+        }
         self.record_hedge_time();
         self.edge.schedule(SchedulerEvent::FirstByte(self.ticket));
     }
 
     /// Records how long the endpoint has taken, for the decision when later requests are slow.
     pub fn record_hedge_time(&self) {
+        if self.is_at_host() {
+            return;
+        }
         let state = &mut *self.edge.state.borrow_mut();
         let took = self.placed_at.elapsed();
         state
@@ -138,6 +224,7 @@
 
     /// Counts events of a stream. The first events also count as the first byte.
     pub fn record_events(&mut self, events: u32) {
+        self.record_answer();
         if self.first_event.is_none() {
             self.first_event = Some(Instant::now());
             self.record_first_byte();
@@ -145,6 +232,9 @@
         let has_gone_on = self.events <= 1 && self.events + events > 1;
         let has_begun = self.events < INITIAL_EVENTS && self.events + events >= INITIAL_EVENTS;
         self.events += events;
+        if self.is_at_host() {
+            return;
+        }
         if has_begun {
             self.record_initial_pace();
         }
@@ -239,6 +329,26 @@
     /// Reports the end of the run to the rollouts and the scheduler.
     fn report_end(&mut self, end: RunEnd) {
         self.ended = true;
+        if self.is_at_host() {
+            return;
+        }
+        let is_lost = match end {
+            RunEnd::Unreachable => true,
+            RunEnd::Disconnected => self.answered_at.is_none(),
+            RunEnd::Completed
+            | RunEnd::Failed
+            | RunEnd::NotRun
+            | RunEnd::Misdirected
+            | RunEnd::Broken
+            | RunEnd::Stalled
+            | RunEnd::Abandoned => false,
+        };
+        self.edge.contact.borrow_mut().record_end(
+            self.ticket,
+            &self.endpoint.id,
+            is_lost,
+            Instant::now(),
+        );
         self.record_crash_evidence(end);
         if end == RunEnd::Completed && self.events < INITIAL_EVENTS {
             self.record_initial_pace();
--- a/gateway/src/edge/reply.rs
+++ b/gateway/src/edge/reply.rs
@@ -45,6 +45,8 @@
     Quarantined,
     /// As `Quarantined`, after an endpoint may have run the request.
     QuarantinedRun,
+    /// This host can't serve a request that another host has passed on; a third one may.
+    NotRelayed,
 }
 
 impl EdgeFault {
@@ -78,6 +80,7 @@
             Self::Quarantined => (2310, StatusCode::SERVICE_UNAVAILABLE, "quarantined"),
             Self::OverShare => (2311, StatusCode::SERVICE_UNAVAILABLE, "over_share"),
             Self::MemoryFull => (2312, StatusCode::SERVICE_UNAVAILABLE, "memory_full"),
+            Self::NotRelayed => (2313, StatusCode::MISDIRECTED_REQUEST, "not_relayed"),
             Self::Timeout => (2501, StatusCode::GATEWAY_TIMEOUT, "timeout"),
             Self::EndpointBroken => (2502, StatusCode::BAD_GATEWAY, "endpoint_broken"),
             Self::GraceEnded => (2503, StatusCode::GATEWAY_TIMEOUT, "grace_ended"),
@@ -86,7 +89,7 @@
     }
 
     /// All faults, ordered by code.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::NoRoute,
         Self::UnknownKey,
         Self::BodyTooLarge,
@@ -105,6 +108,7 @@
         Self::Quarantined,
         Self::OverShare,
         Self::MemoryFull,
+        Self::NotRelayed,
         Self::Timeout,
         Self::EndpointBroken,
         Self::GraceEnded,
--- a/gateway/src/edge/run.rs
+++ b/gateway/src/edge/run.rs
@@ -10,6 +10,8 @@
 use super::datagrams::{receive_datagrams, send_heartbeat, send_heartbeats, send_summaries};
 use super::directory::{control_reply, directory_reply, readiness_reply};
 use super::forward::forward_request;
+use super::isolation_control::watch_contact;
+use super::peer_relay::{RequestOrigin, serve_relayed};
 use super::state::Edge;
 
 /// Minimum time for which a stopping host keeps listening. Callers learn of other hosts within two
@@ -71,8 +73,15 @@
         caller_listener,
         Rc::clone(&edge),
         Rc::clone(&caller_connections),
-        move |request, connection| forward_request(Rc::clone(&handler_edge), request, connection),
+        |_, _| true,
+        move |request, connection| {
+            let edge = Rc::clone(&handler_edge);
+            forward_request(edge, request, connection, RequestOrigin::Caller)
+        },
     );
+    let relay_listener = TcpListener::bind(peer_address).await?;
+    compio::runtime::spawn(watch_contact(Rc::clone(&edge))).detach();
+    spawn_relay_server(&edge, relay_listener, &caller_connections);
     compio::runtime::spawn(async move {
         if let Err(error) = server.await {
             log::error!("edge: caller listener failed: {error}");
@@ -102,6 +111,7 @@
         listener,
         Rc::clone(&edge),
         connections,
+        |_, _| true,
         move |request, _| {
             let response = reply(&edge, &request);
             async move { response }
@@ -115,6 +125,25 @@
     .detach();
 }
 
+/// Serves the requests that other hosts pass on, in a background task. They take the same places as
+/// connections of callers.
+fn spawn_relay_server(edge: &Rc<Edge>, listener: TcpListener, connections: &Rc<ConnectionTable>) {
+    let handler_edge = Rc::clone(edge);
+    let server = serve_connections(
+        listener,
+        Rc::clone(edge),
+        Rc::clone(connections),
+        Edge::is_relaying_host,
+        move |request, connection| serve_relayed(Rc::clone(&handler_edge), request, connection),
+    );
+    compio::runtime::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("edge: listener for other hosts failed: {error}");
+        }
+    })
+    .detach();
+}
+
 /// Closes expired idle connections at regular intervals.
 async fn close_expired(edge: Rc<Edge>) {
     loop {
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -23,6 +23,7 @@
 use crate::duties::DutyState;
 use crate::hedging::HedgeControl;
 use crate::ids::{FastMap, HostAddress, Incarnation, TicketNumber};
+use crate::isolation::ContactMonitor;
 use crate::limits::{RetryBudget, UsageCaps};
 use crate::membership::{
     FeedPositions, FeedTopic, HubChoice, HubTally, MemberTable, MemberView, RelayPlan, UpdateQueue,
@@ -106,6 +107,12 @@
     /// Requests whose responses are not complete.
     pub(crate) in_flight: InFlightTable,
     pub(crate) stop_gate: StopGate,
+    /// Whether this host reaches any endpoint.
+    pub(crate) contact: RefCell<ContactMonitor>,
+    /// Tasks that wait until this host reaches no endpoint.
+    pub(super) isolation_waiters: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Hosts that get no requests of this host's callers until these times.
+    pub(super) avoided_relays: RefCell<FastMap<HostAddress, Instant>>,
     pub(crate) incarnation: Incarnation,
     pub(super) started: Instant,
     pub(super) random: RefCell<SmallRng>,
@@ -176,6 +183,9 @@
             metrics: EdgeMetrics::default(),
             in_flight: InFlightTable::default(),
             stop_gate: StopGate::default(),
+            contact: RefCell::default(),
+            isolation_waiters: RefCell::default(),
+            avoided_relays: RefCell::default(),
             incarnation,
             started: now,
             random: RefCell::new(random),
--- /dev/null
+++ b/gateway/src/isolation/contact_monitor.rs
@@ -0,0 +1,235 @@
+//! Decides from the results of requests and probes whether this host reaches any endpoint.
+//!
+//! Only responses on new connections prove that it does: connections that were opened before a
+//! network partition may live on. Suspicion alone decides nothing, because endpoints may also have
+//! crashed or be slow; a round of probes to other endpoints confirms it.
+
+use std::time::{Duration, Instant};
+
+use crate::ids::{EndpointId, FastMap, FastSet, TicketNumber};
+
+/// Number of different endpoints that must fail before the contact to all is in doubt.
+const MIN_FAILED: usize = 2;
+/// Number of different endpoints that must be silent for an isolation without confirmation.
+const MIN_SILENT: usize = 3;
+/// Time for which a failure counts.
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
+/// Silence of all endpoints after which the contact is in doubt.
+const DOUBTFUL_SILENCE: Duration = Duration::from_millis(500);
+/// Silence of all endpoints after which the host counts as isolated, even if connections can be
+/// opened. A sound endpoint may be silent for about a second.
+const ISOLATING_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time between two rounds of probes while nothing is reachable.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two rounds of probes after one that found an endpoint.
+const CONFIRMED_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two requests that an isolated host sends to endpoints as a trial.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which an isolation ends if connections can be opened and no request could be used as a
+/// trial.
+const MAX_UNTRIED: Duration = Duration::from_secs(10);
+
+/// A request that was sent and has not been answered.
+#[derive(Debug)]
+struct OpenRun {
+    is_fresh: bool,
+    sent: Instant,
+}
+
+/// Why a host counts as isolated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IsolationCause {
+    /// No new connection could be opened. Older ones may live on.
+    Unreachable,
+    /// All endpoints were silent. Any byte of one ends the isolation.
+    Silent,
+}
+
+/// What an isolated host knows.
+#[derive(Debug)]
+struct Isolation {
+    since: Instant,
+    cause: IsolationCause,
+    /// Since when connections can be opened.
+    reachable_since: Option<Instant>,
+    last_trial: Option<Instant>,
+}
+
+/// A change that the monitor has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContactChange {
+    Lost,
+    Regained,
+}
+
+/// The contact of this host with all endpoints.
+#[derive(Debug, Default)]
+pub struct ContactMonitor {
+    runs: FastMap<TicketNumber, OpenRun>,
+    /// Endpoints that failed on new connections since one of them answered on one.
+    failed: FastMap<EndpointId, Instant>,
+    /// Endpoints to which requests were sent since any endpoint was heard.
+    unanswered: FastSet<EndpointId>,
+    unanswered_since: Option<Instant>,
+    next_probe: Option<Instant>,
+    isolation: Option<Isolation>,
+}
+
+impl ContactMonitor {
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.isolation.is_some()
+    }
+
+    /// Returns whether connections to endpoints can be opened, as far as is known.
+    #[must_use]
+    pub fn may_reach_endpoints(&self) -> bool {
+        let isolation = self.isolation.as_ref();
+        isolation.is_none_or(|isolation| {
+            isolation.cause == IsolationCause::Silent || isolation.reachable_since.is_some()
+        })
+    }
+
+    /// Records that a request is sent. `is_fresh`: on a new connection.
+    pub fn record_sent(
+        &mut self,
+        ticket: TicketNumber,
+        endpoint: &EndpointId,
+        is_fresh: bool,
+        now: Instant,
+    ) {
+        self.unanswered.insert(endpoint.clone());
+        self.unanswered_since.get_or_insert(now);
+        let sent = now;
+        self.runs.insert(ticket, OpenRun { is_fresh, sent });
+    }
+
+    /// Records that bytes of any endpoint arrived.
+    pub fn record_bytes(&mut self) -> Option<ContactChange> {
+        self.unanswered.clear();
+        self.unanswered_since = None;
+        self.isolation
+            .take_if(|isolation| isolation.cause == IsolationCause::Silent)
+            .map(|_| ContactChange::Regained)
+    }
+
+    /// Records that the endpoint of a request has begun to answer.
+    pub fn record_answer(&mut self, ticket: TicketNumber) -> Option<ContactChange> {
+        let change = self.record_bytes();
+        let run = self.runs.remove(&ticket).filter(|run| run.is_fresh);
+        let Some(run) = run else { return change };
+        self.failed.clear();
+        let isolation = self
+            .isolation
+            .take_if(|isolation| run.sent >= isolation.since);
+        isolation.map(|_| ContactChange::Regained).or(change)
+    }
+
+    /// Records the end of a request. `is_lost`: its connection could not be opened or ended.
+    pub fn record_end(
+        &mut self,
+        ticket: TicketNumber,
+        endpoint: &EndpointId,
+        is_lost: bool,
+        now: Instant,
+    ) {
+        let run = self.runs.remove(&ticket);
+        if is_lost {
+            self.failed.insert(endpoint.clone(), now);
+        }
+        if let Some(isolation) = &mut self.isolation {
+            let is_trial = run.is_some_and(|run| run.is_fresh && run.sent >= isolation.since);
+            if is_trial || is_lost {
+                isolation.reachable_since = None;
+            }
+        }
+    }
+
+    /// Returns whether endpoints are to be probed now. `known`: number of endpoints.
+    #[must_use]
+    pub fn is_probe_due(&mut self, known: usize, now: Instant) -> bool {
+        if known == 0 || self.next_probe.is_some_and(|at| now < at) {
+            return false;
+        }
+        if let Some(isolation) = &self.isolation {
+            return isolation.reachable_since.is_none();
+        }
+        self.failed
+            .retain(|_, at| now.duration_since(*at) < FAILURE_MEMORY);
+        self.failed.len() >= MIN_FAILED.min(known)
+            || self.unanswered.len() >= MIN_FAILED.min(known)
+                && self.silence(now) >= DOUBTFUL_SILENCE
+    }
+
+    /// Returns the endpoints that have failed, which a probe should leave out.
+    #[must_use]
+    pub fn failed_endpoints(&self) -> FastSet<EndpointId> {
+        self.failed.keys().cloned().collect()
+    }
+
+    /// Records the result of a round of probes: whether any connection could be opened.
+    pub fn record_probe(&mut self, is_reachable: bool, now: Instant) -> Option<ContactChange> {
+        let interval = if is_reachable {
+            CONFIRMED_INTERVAL
+        } else {
+            PROBE_INTERVAL
+        };
+        self.next_probe = Some(now + interval);
+        match (&mut self.isolation, is_reachable) {
+            (Some(isolation), true) => isolation.reachable_since = Some(now),
+            (None, true) => self.failed.clear(),
+            (Some(_), false) => {}
+            (None, false) => return Some(self.isolate(IsolationCause::Unreachable, now)),
+        }
+        None
+    }
+
+    /// Applies the passing of time.
+    pub fn tick(&mut self, now: Instant) -> Option<ContactChange> {
+        let Some(isolation) = &self.isolation else {
+            let is_silent =
+                self.unanswered.len() >= MIN_SILENT && self.silence(now) >= ISOLATING_SILENCE;
+            return is_silent.then(|| self.isolate(IsolationCause::Silent, now));
+        };
+        let reachable_since = isolation.reachable_since?;
+        let last_trial = isolation.last_trial.max(Some(reachable_since))?;
+        if now.duration_since(last_trial) < MAX_UNTRIED {
+            return None;
+        }
+        self.isolation = None;
+        Some(ContactChange::Regained)
+    }
+
+    /// Returns whether an isolated host may send a request to an endpoint as a trial, and counts it.
+    pub fn take_trial(&mut self, now: Instant) -> bool {
+        let Some(isolation) = &mut self.isolation else {
+            return false;
+        };
+        let is_due = isolation
+            .last_trial
+            .is_none_or(|last| now.duration_since(last) >= TRIAL_INTERVAL);
+        let is_permitted = isolation.reachable_since.is_some() && is_due;
+        if is_permitted {
+            isolation.last_trial = Some(now);
+        }
+        is_permitted
+    }
+
+    fn silence(&self, now: Instant) -> Duration {
+        self.unanswered_since
+            .map_or(Duration::ZERO, |since| now.duration_since(since))
+    }
+
+    fn isolate(&mut self, cause: IsolationCause, now: Instant) -> ContactChange {
+        self.isolation = Some(Isolation {
+            since: now,
+            cause,
+            reachable_since: None,
+            last_trial: None,
+        });
+        self.failed.clear();
+        self.unanswered.clear();
+        self.unanswered_since = None;
+        ContactChange::Lost
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod gossip;
 pub mod hedging;
 pub mod ids;
+pub mod isolation;
 pub mod limits;
 pub mod membership;
 pub mod quarantine;
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -5,7 +5,7 @@
 use super::hubs::MemberReport;
 use super::peer_message::PeerHeartbeat;
 use super::relay_plan::{MAX_CELL_HOSTS, RelayCandidate, RelayPlan};
-use crate::ids::{FastMap, HostAddress, ZoneName};
+use crate::ids::{FastMap, HostAddress, Incarnation, ZoneName};
 
 /// Time without a report after which a host is no longer listed to callers: eight missed
 /// heartbeats. Callers must not connect to a host that has been gone for several seconds.
@@ -328,6 +328,20 @@
         known.map(|member| member.report.clone()).collect()
     }
 
+    /// Returns whether a host has ever been heard.
+    #[must_use]
+    pub fn is_heard(&self, host: HostAddress) -> bool {
+        let member = self.members.get(&host);
+        member.is_some_and(|member| member.last_heard.is_some())
+    }
+
+    /// Returns the incarnation of a host that has been heard.
+    #[must_use]
+    pub fn incarnation_of(&self, host: HostAddress) -> Option<Incarnation> {
+        let member = self.members.get(&host)?;
+        member.last_heard.map(|_| member.report.incarnation)
+    }
+
     #[must_use]
     pub fn zone_of(&self, host: HostAddress) -> Option<&ZoneName> {
         self.members.get(&host).map(|member| &member.report.zone)
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -61,6 +61,8 @@
     /// Incremented when the rates of cold endpoints must be assigned to hosts again.
     pub(super) cold_rate_version: u64,
     pub(super) random: SmallRng,
+    /// Whether this host reaches no endpoint.
+    is_isolated: bool,
     /// Whether this host's load changed since the last call of `take_load_changed`.
     load_changed: bool,
 }
@@ -88,6 +90,7 @@
             cold_sends_from: None,
             cold_rate_version: 0,
             random: SmallRng::seed_from_u64(seed),
+            is_isolated: false,
             load_changed: false,
         }
     }
@@ -171,6 +174,10 @@
                 self.live_hosts = hosts;
                 self.update_sender_view();
             }
+            SchedulerEvent::IsolationChanged(is_isolated) => {
+                self.is_isolated = is_isolated;
+                self.load_changed = true;
+            }
             SchedulerEvent::CellChanged(cell) => self.cell = cell,
             SchedulerEvent::ColdSendsFrom(from) => self.cold_sends_from = Some(from),
             SchedulerEvent::KeptSharesChanged(shares) => {
@@ -208,9 +215,13 @@
         std::mem::take(&mut self.load_changed)
     }
 
-    /// Returns this host's load at each endpoint, for its peers.
+    /// Returns this host's load at each endpoint, for its peers. The requests of a host that reaches
+    /// no endpoint don't take places there.
     #[must_use]
     pub fn load_reports(&self) -> Vec<EndpointReport> {
+        if self.is_isolated {
+            return Vec::new();
+        }
         self.loads.iter().filter_map(EndpointLoad::report).collect()
     }
 
--- a/gateway/src/scheduler/types.rs
+++ b/gateway/src/scheduler/types.rs
@@ -145,6 +145,8 @@
     },
     /// The hosts that were heard recently have changed. They include this host.
     LiveHostsChanged(Vec<HostAddress>),
+    /// Whether this host reaches no endpoint.
+    IsolationChanged(bool),
     /// Zone whose loads this host learns first; `None` in a fleet that is not divided into cells.
     CellChanged(Option<ZoneName>),
     /// This host has just started. Until this time it doesn't know who else sends to cold endpoints.
--- a/http-util/src/keep_alive.rs
+++ b/http-util/src/keep_alive.rs
@@ -1,7 +1,7 @@
 //! Client connection that carries several requests, one after another.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use caller_limits::WriteLimiter;
-use compio::net::TcpStream;
+use compio::net::{TcpSocket, TcpStream};
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
 use http::{Request, Response};
@@ -159,7 +159,36 @@
     ///
     /// Fails if the peer doesn't accept the connection within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> std::io::Result<Self> {
-        let stream = compio::time::timeout(timeout, TcpStream::connect(address))
+        Self::open_on(TcpStream::connect(address), timeout).await
+    }
+
+    /// Opens a connection from a local address, so that the peer recognizes this host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the local address can't be used, or if the peer doesn't accept the connection within
+    /// `timeout`.
+    pub async fn open_from(
+        local: IpAddr,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Self> {
+        let connecting = async {
+            let socket = match local {
+                IpAddr::V4(_) => TcpSocket::new_v4().await?,
+                IpAddr::V6(_) => TcpSocket::new_v6().await?,
+            };
+            socket.bind((local, 0).into()).await?;
+            socket.connect(address).await
+        };
+        Self::open_on(connecting, timeout).await
+    }
+
+    async fn open_on(
+        connecting: impl Future<Output = std::io::Result<TcpStream>>,
+        timeout: Duration,
+    ) -> std::io::Result<Self> {
+        let stream = compio::time::timeout(timeout, connecting)
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         set_liveness_options(&stream)?;
