Brittle services: each place of their endpoints belongs to one host

Cause: no part of the code knew the header. Loads that hosts report are a little old, so hosts that compete for the last places send more than there is room for; plain endpoints were also sent more than they have places.

Change: while any answer of a service says that it is brittle, its places are divided among the live hosts by rendezvous hashing, a place stays taken for 10 ms after an answer and 300 ms after a run that was given up, nothing waits at the endpoints, and a rejection blocks the endpoint for a second. Hosts to which no place belongs pass their requests to one that has some, over the port for other hosts.

--- a/gateway/src/edge/answer_signals.rs
+++ b/gateway/src/edge/answer_signals.rs
@@ -72,6 +72,12 @@
         HeaderReading::Missing => {}
         HeaderReading::Malformed => ignore(&names.leaving),
     }
+    match read_header(head, &names.brittle, parse_borne_rejections) {
+        HeaderReading::Valid(()) => edge.record_brittleness(endpoint, true, asked),
+        HeaderReading::Missing if is_signed => edge.record_brittleness(endpoint, false, asked),
+        HeaderReading::Missing => {}
+        HeaderReading::Malformed => ignore(&names.brittle),
+    }
     if status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
@@ -82,7 +88,24 @@
     }
 }
 
+/// Checks the number of rejections that a brittle endpoint bears in a second. The number itself does
+/// not matter: hosts send such an endpoint no more than it has places for.
+fn parse_borne_rejections(text: &str) -> Option<()> {
+    let rejections: f64 = text.trim().parse().ok()?;
+    (rejections.is_finite() && rejections >= 0.0).then_some(())
+}
+
 impl Edge {
+    /// Records whether an endpoint says that it is brittle.
+    fn record_brittleness(&self, endpoint: &EndpointEntry, is_brittle: bool, asked: Instant) {
+        let scheduler = &mut self.state.borrow_mut().scheduler;
+        let service = &endpoint.service;
+        if scheduler.apply_brittleness(service, is_brittle, asked, Instant::now()) {
+            self.count("brittleness_changed");
+            log::info!(service = service.as_str(), brittle = is_brittle, endpoint = endpoint.id.as_str(); "service: brittleness changed");
+        }
+    }
+
     /// Counts and logs a change of what is known of an endpoint.
     pub(super) fn log_signal_change(&self, endpoint: &str, change: SignalChange, reported: bool) {
         let source = if reported { "peer" } else { "answer" };
--- a/gateway/src/edge/dialect.rs
+++ b/gateway/src/edge/dialect.rs
@@ -31,6 +31,8 @@
     pub rate_limit: HeaderName,
     /// Set by an endpoint that is about to stop.
     pub leaving: HeaderName,
+    /// Rejections a second that an endpoint bears; set by the endpoints of a brittle service.
+    pub brittle: HeaderName,
     /// Id of the only endpoint that may run the request.
     pub expected_endpoint: HeaderName,
     /// Workspace of the caller, sent to the endpoint.
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -21,7 +21,7 @@
 use super::failover::{AnswerWait, wait_or_fail_over};
 use super::headers;
 use super::in_flight::InFlightGuard;
-use super::peer_relay::{RelayProgress, RequestOrigin, place_at_peer, take_trial};
+use super::peer_relay::{RelayProgress, RequestOrigin, place_at_owner, place_at_peer, take_trial};
 use super::placement::{PlacedRun, place_request};
 use super::reply::{EdgeFault, fault_reply};
 use super::state::Edge;
@@ -344,6 +344,9 @@
     if let Some(run) = place_at_peer(job) {
         return Ok(run);
     }
+    if let Some(run) = place_at_owner(job) {
+        return Ok(run);
+    }
     if job.edge.is_isolated() {
         if job.runs == 0 && !job.route.kind.is_repeatable() && !job.edge.may_reach_endpoints() {
             // The request would be lost on a connection that hangs.
--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -179,6 +179,26 @@
         return None;
     }
     let peer = edge.draw_relay(job)?;
+    Some(run_at(job, peer))
+}
+
+/// Returns a run at a host that has places at the endpoints of a brittle service, if this host has
+/// none.
+pub(super) fn place_at_owner(job: &ForwardJob) -> Option<PlacedRun> {
+    if job.relay.origin.is_host() || job.relay.hosts > 0 {
+        return None;
+    }
+    let edge = &job.edge;
+    let owners = {
+        let scheduler = &edge.state.borrow().scheduler;
+        scheduler.place_owners(&job.service, Instant::now())
+    };
+    let owner = owners.into_iter().choose(&mut *edge.random.borrow_mut())?;
+    Some(run_at(job, owner))
+}
+
+fn run_at(job: &ForwardJob, peer: HostAddress) -> PlacedRun {
+    let edge = Rc::clone(&job.edge);
     let entry = EndpointEntry {
         id: relay_id(peer),
         service: job.service.clone(),
@@ -190,7 +210,7 @@
         cold_for: Duration::ZERO,
         started_unix_ms: None,
     };
-    Some(PlacedRun::at_peer(edge, Rc::new(entry), job))
+    PlacedRun::at_peer(edge, Rc::new(entry), job)
 }
 
 /// Adds to a request what the other host needs to know.
--- a/gateway/src/scheduler/choice.rs
+++ b/gateway/src/scheduler/choice.rs
@@ -4,6 +4,7 @@
 
 use rollout_judge::RolloutSide;
 
+use super::brittle_services::place_share;
 use super::endpoint_load::EndpointLoad;
 use super::pace::weighted_tokens;
 use super::plain_admission::max_crowding;
@@ -11,7 +12,7 @@
 use crate::backpressure::{SendPermission, SignalTable};
 use crate::catalog::{EndpointEntry, ServiceEntry};
 use crate::configs::SchedulerSettings;
-use crate::ids::{VersionName, ZoneName};
+use crate::ids::{HostAddress, VersionName, ZoneName};
 
 /// Safety factor on the expected time of an answer, because estimates are off by up to half in both
 /// directions.
@@ -73,6 +74,8 @@
     pub scan_share: f64,
     /// Same share for endpoints in other zones.
     pub remote_scan_share: f64,
+    /// This host and all that share the places with it, if the service is brittle.
+    pub brittle_sharers: Option<(HostAddress, &'a [HostAddress])>,
 }
 
 impl ChoiceLimits<'_> {
@@ -149,9 +152,15 @@
         let has_stale_loads = limits.scan_share < 1.0;
         let max_active = match (engine, has_stale_loads) {
             (true, _) => load.entry.slots.max(1),
+            _ if limits.brittle_sharers.is_some() => load.entry.slots.max(1),
             (false, false) => load.entry.slots.max(1).saturating_add(PLAIN_QUEUE_DEPTH),
             (false, true) => max_plain_active(load, item),
         };
+        if let Some((own, hosts)) = limits.brittle_sharers
+            && load.own_places(now) >= place_share(load, own, hosts)
+        {
+            continue;
+        }
         if !has_capacity(load, engine, max_active, settings, now) {
             continue;
         }
--- a/gateway/src/scheduler/endpoint_health.rs
+++ b/gateway/src/scheduler/endpoint_health.rs
@@ -1,6 +1,6 @@
 //! Health of an endpoint, derived from the results of its requests. No health checks are sent.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::types::RunEnd;
 use crate::configs::SchedulerSettings;
@@ -61,6 +61,11 @@
         self.blocked_until = None;
     }
 
+    /// Blocks the endpoint for at least this time.
+    pub fn block_for(&mut self, time: Duration, now: Instant) {
+        self.blocked_until = self.blocked_until.max(Some(now + time));
+    }
+
     fn block(&mut self, settings: &SchedulerSettings, now: Instant) {
         let factor = 2_u32.pow(self.unreachable_streak.min(8));
         let backoff = (settings.initial_backoff * factor).min(settings.max_backoff);
--- a/gateway/src/scheduler/endpoint_load.rs
+++ b/gateway/src/scheduler/endpoint_load.rs
@@ -14,6 +14,11 @@
 /// Maximum number of pending prefill tokens in a report, which keeps them within 32 bits.
 const MAX_REPORTED_TOKENS: f64 = 1e9;
 
+/// Time until an endpoint has surely released the place of a run whose answer has arrived.
+const ANSWERED_HOLD: Duration = Duration::from_millis(10);
+/// The same for a run that was given up: the endpoint first has to notice the closed connection.
+const ABANDONED_HOLD: Duration = Duration::from_millis(300);
+
 #[derive(Debug)]
 struct ActiveRun {
     dispatched: Instant,
@@ -48,6 +53,8 @@
     /// exchange their loads directly.
     slot_credits: Option<u32>,
     runs: FastMap<TicketNumber, ActiveRun>,
+    /// Times until which the endpoint may still hold places of runs that have ended.
+    held_until: Vec<Instant>,
     peers: FastMap<HostAddress, PeerLoad>,
 }
 
@@ -64,6 +71,7 @@
             applied_cold_rate_version: None,
             slot_credits: None,
             runs: FastMap::default(),
+            held_until: Vec::new(),
             peers: FastMap::default(),
         }
     }
@@ -107,7 +115,10 @@
         settings: &SchedulerSettings,
         now: Instant,
     ) {
-        self.runs.remove(&ticket);
+        if self.runs.remove(&ticket).is_some() {
+            self.held_until.retain(|until| now < *until);
+            self.held_until.push(now + hold_time(end));
+        }
         self.health.record_end(end, settings, now);
     }
 
@@ -115,6 +126,12 @@
         self.runs.len()
     }
 
+    /// Returns how many places this host's runs take, with those that have just ended.
+    pub fn own_places(&self, now: Instant) -> usize {
+        let held = self.held_until.iter().filter(|until| now < **until);
+        self.runs.len() + held.count()
+    }
+
     /// Returns the number of active requests of all hosts at this endpoint.
     pub fn active(&self, expiry: Duration, now: Instant) -> u32 {
         let peers: u32 = self
@@ -230,3 +247,14 @@
         *self = Self::new(entry);
     }
 }
+
+/// Returns how long an endpoint may hold the place of a run after its end.
+fn hold_time(end: RunEnd) -> Duration {
+    match end {
+        RunEnd::Completed | RunEnd::Failed | RunEnd::NotRun | RunEnd::Misdirected => ANSWERED_HOLD,
+        RunEnd::Unreachable => Duration::ZERO,
+        RunEnd::Broken | RunEnd::Disconnected | RunEnd::Stalled | RunEnd::Abandoned => {
+            ABANDONED_HOLD
+        }
+    }
+}
--- a/gateway/src/scheduler/mod.rs
+++ b/gateway/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Decides which endpoint runs which request, and when. Callers use `SchedulerState::reduce`.
 
+mod brittle_services;
 mod choice;
 mod cold_gate;
 mod endpoint_health;
--- a/gateway/src/scheduler/state.rs
+++ b/gateway/src/scheduler/state.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rollout_judge::RolloutSide;
 
+use super::brittle_services::BrittleServices;
 use super::choice::{ChoiceLimits, EndpointChoice, EndpointPool, choose_endpoint};
 use super::endpoint_load::EndpointLoad;
 use super::plain_admission::PlainAdmission;
@@ -27,6 +28,9 @@
 /// Minimum retry delay for refused callers. An overload lasts for seconds, so a caller that returns
 /// earlier would be refused again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+/// Time for which a host sends nothing to a brittle endpoint that has rejected a request. The endpoint
+/// counts its rejections in a second.
+const BRITTLE_BACKOFF: Duration = Duration::from_secs(1);
 /// Minimum number of requests ahead in the queue for which a wait is estimated.
 const MIN_AHEAD_FOR_ESTIMATE: usize = 3;
 /// Maximum retry delay for refused callers. Callers accept a delay of at most a third of their
@@ -44,6 +48,7 @@
     queue: WaitQueue,
     shares: ServiceShares,
     plain_admissions: FastMap<ServiceName, PlainAdmission>,
+    pub(super) brittle_services: BrittleServices,
     /// Part of its requests that a workspace may send while there is not enough room.
     kept_shares: FastMap<NameHash, f64>,
     /// Endpoints of the active runs of this host.
@@ -80,6 +85,7 @@
             queue: WaitQueue::default(),
             shares: ServiceShares::default(),
             plain_admissions: FastMap::default(),
+            brittle_services: BrittleServices::default(),
             kept_shares: FastMap::default(),
             run_endpoints: FastMap::default(),
             own_host: None,
@@ -382,6 +388,14 @@
         effects
     }
 
+    /// Returns the shares of the endpoints of the own zone, and of the others, that one choice
+    /// considers first.
+    fn scan_shares(&self) -> (f64, f64) {
+        let (local, remote) = self.competing_hosts();
+        let scan_share = |hosts: f64| self.settings.max_full_scan_hosts / hosts;
+        (scan_share(local), scan_share(remote))
+    }
+
     /// Dispatches the waiting requests of a service, in order, while endpoints have free capacity.
     /// A request that has excluded endpoints does not hold up the requests behind it if only
     /// excluded or full endpoints could run it.
@@ -392,9 +406,10 @@
         effects: &mut Vec<SchedulerEffect>,
     ) {
         self.assign_cold_rates(now);
-        let (local, remote) = self.competing_hosts();
-        let scan_share = |hosts: f64| self.settings.max_full_scan_hosts / hosts;
-        let (scan_share, remote_scan_share) = (scan_share(local), scan_share(remote));
+        let (scan_share, remote_scan_share) = self.scan_shares();
+        let brittle_sharers =
+            self.brittle_services
+                .sharers(service, self.own_host, &self.live_hosts, now);
         let shares = self.shares.entry(service.clone()).or_default();
         for ticket in self
             .queue
@@ -418,6 +433,7 @@
                         cell: self.cell.as_ref(),
                         scan_share,
                         remote_scan_share,
+                        brittle_sharers,
                     },
                     &self.settings,
                     || random.random::<f64>(),
@@ -546,7 +562,11 @@
         let is_expected =
             end == RunEnd::NotRun && self.signals.is_restricted(load.incarnation, now);
         let end = if is_expected { RunEnd::Abandoned } else { end };
+        let is_brittle = self.brittle_services.contains(&load.entry.service, now);
         load.end_run(ticket, end, &self.settings, now);
+        if is_brittle && end == RunEnd::NotRun {
+            load.health.block_for(BRITTLE_BACKOFF, now);
+        }
         // An unreachable endpoint may have crashed; it is cold when it returns.
         if end == RunEnd::Unreachable {
             let service = self.services.get(&load.entry.service);
