Isolation: a request that was passed on runs once at the other host

Both hosts resumed it: the one that passed it on does not learn how often the other one has sent it.

Change: the receiving host sends a request to one endpoint that may run it; whether another one may is decided by the host that knows all runs, from its own retry budget.

--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -190,7 +190,7 @@
 }
 
 /// Decides whether the response of a host that has taken a request may be passed on. The host has
-/// checked that of the endpoint, and its own errors are final.
+/// checked that of the endpoint, which has run the request once at most.
 fn check_relayed_head(
     job: &mut ForwardJob,
     run: PlacedRun,
@@ -212,6 +212,9 @@
             // The promise does not cover the earlier run.
             return Err(DispatchFailure::NotRelayed);
         }
+    } else if status.is_server_error() && job.may_run_again() {
+        job.record_presumed_begun(asked);
+        return Err(DispatchFailure::Failed);
     } else if !status.is_success() || !job.route.kind.is_stream() {
         job.record_begun(asked);
     }
@@ -252,11 +255,7 @@
 /// request may not run again.
 pub(crate) fn silence_limit(job: &ForwardJob) -> Option<Duration> {
     let lost_limit = lost_limit(job)?;
-    if job.relay.is_current {
-        // The other host replaces a silent endpoint itself.
-        return Some(lost_limit * 2);
-    }
-    if job.edge.is_isolated() {
+    if job.edge.is_isolated() && !job.relay.is_current {
         return Some(TRIAL_TIME);
     }
     Some(
--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -210,13 +210,7 @@
     if !source.run.has_events() {
         return silence_limit(job);
     }
-    let max_gap = (job.route.event_gap_target * STALL_FACTOR).max(MIN_STALL);
-    // The other host replaces a silent endpoint itself.
-    Some(if job.relay.is_current {
-        max_gap * 2
-    } else {
-        max_gap
-    })
+    Some((job.route.event_gap_target * STALL_FACTOR).max(MIN_STALL))
 }
 
 /// Ends a stream that was read completely and releases its connection.
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -107,9 +107,12 @@
         }
     }
 
-    /// Returns whether another endpoint may run the request although one may have run it already.
+    /// Returns whether another endpoint may run the request although one may have run it already. A
+    /// request that another host has passed on runs here once at most: only that host knows all runs.
     pub fn may_run_again(&self) -> bool {
-        self.route.kind.is_repeatable() && self.runs < self.route.max_attempts
+        let origin = self.relay.origin;
+        let is_decided_here = !origin.is_host() || self.runs == origin.runs();
+        is_decided_here && self.route.kind.is_repeatable() && self.runs < self.route.max_attempts
     }
 
     /// Returns whether another endpoint may be requested while the current one is silent.
