--- a/gateway/src/isolation/contact_monitor.rs
+++ b/gateway/src/isolation/contact_monitor.rs
@@ -19,6 +19,8 @@
 /// Silence of all endpoints after which the host counts as isolated, even if connections can be
 /// opened. A sound endpoint may be silent for about a second.
 const ISOLATING_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time between two ticks after which the host was suspended in between.
+const MAX_TICK_GAP: Duration = Duration::from_millis(500);
 /// Time between two rounds of probes while nothing is reachable.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two rounds of probes after one that found an endpoint.
@@ -72,6 +74,7 @@
     unanswered: FastSet<EndpointId>,
     unanswered_since: Option<Instant>,
     next_probe: Option<Instant>,
+    last_tick: Option<Instant>,
     isolation: Option<Isolation>,
 }
 
@@ -186,6 +189,11 @@
 
     /// Applies the passing of time.
     pub fn tick(&mut self, now: Instant) -> Option<ContactChange> {
+        let last_tick = self.last_tick.replace(now);
+        if last_tick.is_some_and(|last| now.duration_since(last) > MAX_TICK_GAP) {
+            // This host was suspended, and could not hear anybody.
+            self.unanswered_since = self.unanswered_since.map(|_| now);
+        }
         let Some(isolation) = &self.isolation else {
             let is_silent =
                 self.unanswered.len() >= MIN_SILENT && self.silence(now) >= ISOLATING_SILENCE;
