Isolation: hosts that all lose contact go on without each other

Change: if no other host can help, the loss is that of the endpoints; the host goes on as if it were not isolated, and does not count as such for 2 s. Orders are no longer refused then. gateway/tests/isolation.rs::a_loss_that_all_hosts_share_isolates_none.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -351,13 +351,6 @@
         return Ok(run);
     }
     if job.edge.is_isolated() {
-        if job.runs == 0 && !job.route.kind.is_repeatable() && !job.edge.may_reach_endpoints() {
-            // The request would be lost on a connection that hangs.
-            return Err(ForwardError {
-                fault: EdgeFault::NoEndpoint,
-                retry_after: Some(REFUSED_RETRY_AFTER),
-            });
-        }
         return place_at_endpoint(job).await;
     }
     let edge = Rc::clone(&job.edge);
--- a/gateway/src/edge/isolation_control.rs
+++ b/gateway/src/edge/isolation_control.rs
@@ -28,11 +28,6 @@
         self.contact.borrow().is_isolated()
     }
 
-    /// Returns whether connections to endpoints can be opened, as far as this host knows.
-    pub(crate) fn may_reach_endpoints(&self) -> bool {
-        self.contact.borrow().may_reach_endpoints()
-    }
-
     /// Waits until this host reaches no endpoint.
     pub(crate) async fn wait_until_isolated(&self) {
         while !self.is_isolated() {
@@ -61,6 +56,10 @@
                 self.count("endpoints_regained");
                 log::info!("endpoints: reachable again");
             }
+            Some(ContactChange::Shared) => {
+                self.count("endpoints_lost_by_all");
+                log::warn!("endpoints: no other host reaches any");
+            }
         }
         let is_isolated = self.is_isolated();
         self.schedule(SchedulerEvent::IsolationChanged(is_isolated));
--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -24,7 +24,7 @@
 /// Maximum number of hosts to which one request is passed. Most of the fleet may be isolated, and a
 /// host that is answers at once.
 pub(super) const MAX_RELAYS: u32 = 16;
-/// Time for which a host that did not take a request gets no other one.
+/// Time for which a host that did not take a request gets no other one. Links are cut for seconds.
 const AVOIDED_TIME: Duration = Duration::from_secs(2);
 
 /// The host that passes a request on.
@@ -145,17 +145,30 @@
         self.avoided_relays.borrow_mut().insert(peer.ip(), until);
     }
 
-    /// Draws a host that may reach endpoints and has not been tried for the request.
+    /// Draws a host that may reach endpoints and has not been tried for the request. If no host may,
+    /// this one doesn't count as isolated any more.
     fn draw_relay(&self, job: &ForwardJob) -> Option<HostAddress> {
         let now = Instant::now();
+        let candidates = self.relay_candidates(now);
+        if candidates.is_empty() {
+            let change = self.contact.borrow_mut().share_loss(now);
+            self.apply_contact_change(change);
+        }
+        let untried = candidates
+            .into_iter()
+            .filter(|host| !job.tried.contains(&relay_id(*host)));
+        untried.choose(&mut *self.random.borrow_mut())
+    }
+
+    /// Returns the hosts that may reach endpoints.
+    fn relay_candidates(&self, now: Instant) -> Vec<HostAddress> {
         let avoided = &mut *self.avoided_relays.borrow_mut();
         avoided.retain(|_, until| now < *until);
         let peers = self.state.borrow().members.serving(now);
-        let untried = peers
-            .into_iter()
-            .map(|(host, _)| host)
-            .filter(|host| !avoided.contains_key(host) && !job.tried.contains(&relay_id(*host)));
-        untried.choose(&mut *self.random.borrow_mut())
+        let candidates = peers.into_iter().map(|(host, _)| host);
+        candidates
+            .filter(|host| !avoided.contains_key(host))
+            .collect()
     }
 }
 
--- a/gateway/src/isolation/contact_monitor.rs
+++ b/gateway/src/isolation/contact_monitor.rs
@@ -27,6 +27,8 @@
 const CONFIRMED_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two requests that an isolated host sends to endpoints as a trial.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a host does not count as isolated after no other host could help.
+const SHARED_TIME: Duration = Duration::from_secs(2);
 /// Time after which an isolation ends if connections can be opened and no request could be used as a
 /// trial.
 const MAX_UNTRIED: Duration = Duration::from_secs(10);
@@ -62,6 +64,8 @@
 pub enum ContactChange {
     Lost,
     Regained,
+    /// No other host reaches endpoints either, so the fault may be theirs.
+    Shared,
 }
 
 /// The contact of this host with all endpoints.
@@ -75,6 +79,8 @@
     unanswered_since: Option<Instant>,
     next_probe: Option<Instant>,
     last_tick: Option<Instant>,
+    /// Until then, the loss of contact counts as that of the endpoints.
+    shared_until: Option<Instant>,
     isolation: Option<Isolation>,
 }
 
@@ -84,15 +90,6 @@
         self.isolation.is_some()
     }
 
-    /// Returns whether connections to endpoints can be opened, as far as is known.
-    #[must_use]
-    pub fn may_reach_endpoints(&self) -> bool {
-        let isolation = self.isolation.as_ref();
-        isolation.is_none_or(|isolation| {
-            isolation.cause == IsolationCause::Silent || isolation.reachable_since.is_some()
-        })
-    }
-
     /// Records that a request is sent. `is_fresh`: on a new connection.
     pub fn record_sent(
         &mut self,
@@ -151,7 +148,8 @@
     /// Returns whether endpoints are to be probed now. `known`: number of endpoints.
     #[must_use]
     pub fn is_probe_due(&mut self, known: usize, now: Instant) -> bool {
-        if known == 0 || self.next_probe.is_some_and(|at| now < at) {
+        let is_early = self.next_probe.is_some_and(|at| now < at);
+        if known == 0 || is_early || self.is_shared(now) {
             return false;
         }
         if let Some(isolation) = &self.isolation {
@@ -195,8 +193,9 @@
             self.unanswered_since = self.unanswered_since.map(|_| now);
         }
         let Some(isolation) = &self.isolation else {
-            let is_silent =
-                self.unanswered.len() >= MIN_SILENT && self.silence(now) >= ISOLATING_SILENCE;
+            let is_silent = self.unanswered.len() >= MIN_SILENT
+                && self.silence(now) >= ISOLATING_SILENCE
+                && !self.is_shared(now);
             return is_silent.then(|| self.isolate(IsolationCause::Silent, now));
         };
         let reachable_since = isolation.reachable_since?;
@@ -223,6 +222,17 @@
         is_permitted
     }
 
+    /// Ends an isolation because no other host reaches endpoints.
+    pub fn share_loss(&mut self, now: Instant) -> Option<ContactChange> {
+        self.isolation.take()?;
+        self.shared_until = Some(now + SHARED_TIME);
+        Some(ContactChange::Shared)
+    }
+
+    fn is_shared(&self, now: Instant) -> bool {
+        self.shared_until.is_some_and(|until| now < until)
+    }
+
     fn silence(&self, now: Instant) -> Duration {
         self.unanswered_since
             .map_or(Duration::ZERO, |since| now.duration_since(since))
--- a/gateway/tests/isolation.rs
+++ b/gateway/tests/isolation.rs
@@ -135,6 +135,27 @@
     assert!(!session.is_probe_due(2_100));
 }
 
+/// Guards against hosts that all count as isolated while the endpoints are gone, and that wait for
+/// each other when these are back.
+#[test]
+fn a_loss_that_all_hosts_share_isolates_none() {
+    let mut session = Session::new();
+    session.lose(1, "e1", 0);
+    session.lose(2, "e2", 0);
+    session.probe(false, 10);
+    let refused = session.at(20);
+    let change = session.monitor.share_loss(refused);
+    session.note(20, change);
+    session.lose(3, "e1", 1_000);
+    session.lose(4, "e2", 1_000);
+    assert!(!session.is_probe_due(1_100));
+    assert!(session.is_probe_due(2_100));
+    assert_eq!(
+        session.changes,
+        [(10, ContactChange::Lost), (20, ContactChange::Shared)]
+    );
+}
+
 /// Guards against a host that stays isolated for good because none of its requests may run again.
 #[test]
 fn an_isolation_without_trials_ends_while_connections_can_be_opened() {
