Isolation: a trial of an endpoint never takes the last run of a request

Cause: an isolated host sends one request each 0.5 s to an endpoint as a trial, which moves on after 0.4 s of silence. Whether it may move on was asked before the trial counted as a run, so a read that had one run left (its first was at a host that stalled, or an earlier trial) waited for a hanging endpoint until its deadline.

Change: only a request that has not run yet, and may run twice, is a trial.

Test: the_last_run_of_a_request_is_not_spent_on_a_trial, which failed before.

--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -177,9 +177,11 @@
 }
 
 /// Returns whether a request is to be sent to an endpoint although this host reached none: one that
-/// may run again shows whether it does now.
+/// may run once more elsewhere shows whether it does now.
 pub(super) fn take_trial(job: &ForwardJob) -> bool {
+    let leaves_run = job.runs == 0 && job.route.max_attempts > 1;
     !job.relay.origin.is_host()
+        && leaves_run
         && job.may_fail_over()
         && job.edge.contact.borrow_mut().take_trial(Instant::now())
 }
