Isolation: the only host that helps is awaited rather than given up

An isolated host asks for another place while the host that runs its request is silent. If no untried host was left, it was placed at an endpoint, which is the one place known not to answer: the slow answer was thrown away, and the caller got 504.

Change: such a place is given back and the silent host is kept.

--- a/gateway/src/edge/failover.rs
+++ b/gateway/src/edge/failover.rs
@@ -118,6 +118,12 @@
 /// names some that have crashed. Otherwise returns the cause.
 async fn place_reachable(job: &mut ForwardJob) -> Result<PlacedRun, &'static str> {
     let mut run = place_job(job).await.map_err(|_| "no_other_endpoint")?;
+    let is_hopeless = job.edge.is_isolated() && !run.is_at_host();
+    if is_hopeless && job.relay.is_current {
+        // The silent host may still answer.
+        run.end(RunEnd::Abandoned);
+        return Err("no_other_endpoint");
+    }
     let Ok(connection) = run.connect().await else {
         run.end(RunEnd::Unreachable);
         return Err("retry_unreachable");
