Isolation: no trial of an endpoint without a retry to leave it with

A host that was cut off from endpoints sends a read each 0.5 s to one as a trial. To move on after 0.4 s of silence it needs a retry from the budget, whose share shrinks with the number of hosts: with 14 hosts and two reads a second at the cut host, 7 of 25 reads waited for the hanging endpoint until their deadline (504).

Change: a trial is made only while the budget would grant a retry.

--- a/gateway/src/edge/failover.rs
+++ b/gateway/src/edge/failover.rs
@@ -133,7 +133,7 @@
 }
 
 /// A retry taken from the budget. Dropping it returns the retry, because nothing was sent.
-struct RetryPermit {
+pub(super) struct RetryPermit {
     edge: Rc<Edge>,
     service: ServiceName,
     taken_at: Instant,
@@ -156,6 +156,11 @@
             })
     }
 
+    /// Returns whether the budget would grant a retry now.
+    pub fn is_available(job: &ForwardJob) -> bool {
+        Self::take(job).is_some()
+    }
+
     fn spend(mut self) {
         self.is_spent = true;
     }
--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -13,6 +13,7 @@
 use rand::seq::IteratorRandom;
 
 use super::body::EdgeBody;
+use super::failover::RetryPermit;
 use super::forward::{ForwardJob, forward_request};
 use super::headers;
 use super::placement::PlacedRun;
@@ -180,9 +181,11 @@
 /// may run once more elsewhere shows whether it does now.
 pub(super) fn take_trial(job: &ForwardJob) -> bool {
     let leaves_run = job.runs == 0 && job.route.max_attempts > 1;
-    !job.relay.origin.is_host()
+    job.edge.is_isolated()
+        && !job.relay.origin.is_host()
         && leaves_run
         && job.may_fail_over()
+        && RetryPermit::is_available(job)
         && job.edge.contact.borrow_mut().take_trial(Instant::now())
 }
 
