--- a/gateway/src/backpressure/limit_share.rs
+++ b/gateway/src/backpressure/limit_share.rs
@@ -7,7 +7,7 @@
 
 use super::signal::RateMilli;
 use crate::ids::{HostAddress, IncarnationHash};
-use crate::rendezvous::host_rank;
+use crate::rendezvous::hosts_before;
 
 /// Permits that all hosts together may accumulate, besides those of one second.
 const EXTRA_BURST: f64 = 2.0;
@@ -92,10 +92,7 @@
     };
     let burst = (limit + EXTRA_BURST) * part;
     let senders = whole_part(burst).clamp(1, live);
-    let own_rank = host_rank(endpoint, own);
-    let ranks = view.live.iter().map(|host| host_rank(endpoint, *host));
-    let hosts_before = ranks.filter(|rank| *rank < own_rank).count();
-    if hosts_before >= senders {
+    if hosts_before(endpoint, own, &view.live) >= senders {
         return SenderShare::default();
     }
     SenderShare {
--- a/gateway/src/quarantine/blocked_content.rs
+++ b/gateway/src/quarantine/blocked_content.rs
@@ -6,7 +6,7 @@
 use super::quarantine_report::BlockReport;
 use crate::gossip::{ReportSchedule, age_ms};
 use crate::ids::{ContentHash, HostAddress};
-use crate::rendezvous::host_rank;
+use crate::rendezvous::hosts_before;
 
 /// Maximum number of contents that are named as companions of a blocked one.
 const MAX_COMPANIONS: usize = 8;
@@ -87,9 +87,7 @@
         let since_crash = now.saturating_duration_since(self.last_crash);
         let doublings = since_crash.as_secs() / TRIAL_DOUBLING_TIME.as_secs();
         let chosen_hosts = 1_usize << doublings.min(16);
-        let own_rank = host_rank(content, own);
-        let ranks = live.iter().map(|host| host_rank(content, *host));
-        ranks.filter(|rank| *rank < own_rank).count() < chosen_hosts
+        hosts_before(content, own, live) < chosen_hosts
     }
 
     pub fn report(&self, content: ContentHash, now: Instant) -> BlockReport {
--- a/gateway/src/scheduler/brittle_services.rs
+++ b/gateway/src/scheduler/brittle_services.rs
@@ -10,7 +10,7 @@
 use super::endpoint_load::EndpointLoad;
 use super::state::SchedulerState;
 use crate::ids::{FastMap, FastSet, HostAddress, ServiceName};
-use crate::rendezvous::host_rank;
+use crate::rendezvous::{host_rank, hosts_before};
 
 /// Time for which a statement holds if no later answer of the service says otherwise.
 const STATEMENT_TIME: Duration = Duration::from_secs(10);
@@ -113,8 +113,6 @@
 pub(super) fn place_share(load: &EndpointLoad, own: HostAddress, hosts: &[HostAddress]) -> usize {
     let count = hosts.len().max(1);
     let slots = slot_count(load);
-    let own_rank = host_rank(load.hash, own);
-    let ranks = hosts.iter().map(|host| host_rank(load.hash, *host));
-    let hosts_before = ranks.filter(|rank| *rank < own_rank).count();
-    slots / count + usize::from(hosts_before < slots % count)
+    let position = hosts_before(load.hash, own, hosts);
+    slots / count + usize::from(position < slots % count)
 }
--- a/gateway/src/scheduler/shared_load.rs
+++ b/gateway/src/scheduler/shared_load.rs
@@ -9,7 +9,7 @@
 use super::state::SchedulerState;
 use super::types::EndpointReport;
 use crate::ids::{FastMap, FastSet, HostAddress, NameHash, ZoneName};
-use crate::rendezvous::host_rank;
+use crate::rendezvous::hosts_before;
 
 impl SchedulerState {
     pub(super) fn apply_peer_report(
@@ -98,12 +98,10 @@
             load.applied_cold_rate_version = Some(self.cold_rate_version);
             let service = self.services.get(&load.entry.service);
             let rate = service.map_or(0.0, |service| service.cold_rate_per_s);
-            let own_rank = host_rank(load.hash, own);
-            let ranks = self.hosts.iter().map(|host| host_rank(load.hash, *host));
-            let hosts_before = ranks.filter(|rank| *rank < own_rank).count();
+            let position = hosts_before(load.hash, own, &self.hosts);
             #[expect(clippy::cast_precision_loss, reason = "a handful of hosts")]
             let share = rate / senders as f64;
-            load.cold_share_per_s = if hosts_before < senders { share } else { 0.0 };
+            load.cold_share_per_s = if position < senders { share } else { 0.0 };
         }
     }
 }
