--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -216,11 +216,10 @@
 }
 
 fn run_at(job: &ForwardJob, peer: HostAddress) -> PlacedRun {
-    let edge = Rc::clone(&job.edge);
     let entry = EndpointEntry {
         id: relay_id(peer),
         service: job.service.clone(),
-        address: (peer, edge.settings.peer_port).into(),
+        address: (peer, job.edge.settings.peer_port).into(),
         zone: CompactString::default(),
         version: CompactString::default(),
         slots: 0,
@@ -228,7 +227,7 @@
         cold_for: Duration::ZERO,
         started_unix_ms: None,
     };
-    PlacedRun::at_peer(edge, Rc::new(entry), job)
+    PlacedRun::at_peer(job, Rc::new(entry))
 }
 
 /// Adds to a request what the other host needs to know.
--- a/gateway/src/edge/placement.rs
+++ b/gateway/src/edge/placement.rs
@@ -73,24 +73,13 @@
         edge.record_version_dispatch(endpoint);
     }
     match placement {
-        Ok(Placement::Placed(endpoint)) => Ok(PlacedRun {
-            edge: Rc::clone(edge),
-            endpoint,
-            connection: None,
-            ticket,
-            route,
-            contents,
-            expected_events,
-            size_factor: prompt_factor,
-            placed_at: Instant::now(),
-            ended: false,
-            events: 0,
-            first_event: None,
-            is_trial: false,
-            has_succeeded: false,
-            target: RunTarget::Endpoint,
-            answered_at: None,
-        }),
+        Ok(Placement::Placed(endpoint)) => {
+            let mut run = PlacedRun::new(edge, endpoint, route, contents);
+            run.ticket = ticket;
+            run.expected_events = expected_events;
+            run.size_factor = prompt_factor;
+            Ok(run)
+        }
         Ok(Placement::Refused {
             reason,
             retry_after,
@@ -135,15 +124,20 @@
 }
 
 impl PlacedRun {
-    /// Returns a run at another host, which places the request at an endpoint.
-    pub fn at_peer(edge: Rc<Edge>, peer: Rc<EndpointEntry>, job: &ForwardJob) -> Self {
+    /// Returns a run at an endpoint for a request of unknown size, which has no ticket yet.
+    fn new(
+        edge: &Rc<Edge>,
+        endpoint: Rc<EndpointEntry>,
+        route: RouteName,
+        contents: Rc<[ContentHash]>,
+    ) -> Self {
         Self {
-            edge,
-            endpoint: peer,
+            edge: Rc::clone(edge),
+            endpoint,
             connection: None,
             ticket: 0,
-            route: job.route.name.clone(),
-            contents: Rc::clone(&job.contents),
+            route,
+            contents,
             expected_events: 0.0,
             size_factor: 1.0,
             placed_at: Instant::now(),
@@ -152,11 +146,23 @@
             first_event: None,
             is_trial: false,
             has_succeeded: false,
-            target: RunTarget::Host,
+            target: RunTarget::Endpoint,
             answered_at: None,
         }
     }
 
+    /// Returns a run at another host, which places the request at an endpoint.
+    pub fn at_peer(job: &ForwardJob, peer: Rc<EndpointEntry>) -> Self {
+        let mut run = Self::new(
+            &job.edge,
+            peer,
+            job.route.name.clone(),
+            Rc::clone(&job.contents),
+        );
+        run.target = RunTarget::Host;
+        run
+    }
+
     /// Returns whether the run is at another host.
     pub fn is_at_host(&self) -> bool {
         self.target == RunTarget::Host
