Isolation: the retry for leaving an endpoint on trial is taken before the trial

Seen once in four runs, two copies of the test file side by side: a_host_without_retries_makes_no_trials, read 6 of 15 got 504, "silent endpoint kept cause=retry_budget_empty".

Change: the retry is taken before the trial, spent when the request leaves the endpoint, and returned when the endpoint answers.

--- a/gateway/src/edge/admit.rs
+++ b/gateway/src/edge/admit.rs
@@ -127,6 +127,7 @@
         // The host that passed the request on counts it.
         is_counted: origin.is_host(),
         next_run: None,
+        trial_retry: None,
         dispatched_at: None,
         is_hedged: false,
         relay: origin.into(),
--- a/gateway/src/edge/event_relay.rs
+++ b/gateway/src/edge/event_relay.rs
@@ -241,7 +241,7 @@
         RunEnd::Stalled | RunEnd::Abandoned => DispatchFailure::Silent,
         _ => DispatchFailure::MayHaveRun,
     };
-    while is_resumable(&state.job) && may_retry(&state.job, failure) {
+    while is_resumable(&state.job) && may_retry(&mut state.job, failure) {
         state.job.edge.count("stream_resume");
         log::info!(
             id = state.job.id.as_str(), cause = failure.cause(), after_event = state.last_id.unwrap_or(0),
--- a/gateway/src/edge/failover.rs
+++ b/gateway/src/edge/failover.rs
@@ -95,7 +95,8 @@
 async fn place_elsewhere(job: &mut ForwardJob) -> PlacedRun {
     let mut is_kept = false;
     loop {
-        let cause = match RetryPermit::take(job) {
+        let permit = job.trial_retry.take();
+        let cause = match permit.or_else(|| RetryPermit::take(job)) {
             Some(permit) => match place_reachable(job).await {
                 Ok(run) => {
                     permit.spend();
@@ -142,7 +143,7 @@
 
 impl RetryPermit {
     /// Takes a retry, or returns `None` if the budget is used up.
-    fn take(job: &ForwardJob) -> Option<Self> {
+    pub fn take(job: &ForwardJob) -> Option<Self> {
         let taken_at = Instant::now();
         let state = &mut *job.edge.state.borrow_mut();
         state
@@ -156,12 +157,7 @@
             })
     }
 
-    /// Returns whether the budget would grant a retry now.
-    pub fn is_available(job: &ForwardJob) -> bool {
-        Self::take(job).is_some()
-    }
-
-    fn spend(mut self) {
+    pub fn spend(mut self) {
         self.is_spent = true;
     }
 }
--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -18,7 +18,7 @@
 use super::connection_pool::EndpointConnection;
 use super::dispatch::{DispatchFailure, send_job};
 use super::event_relay::relay_events;
-use super::failover::{AnswerWait, wait_or_fail_over};
+use super::failover::{AnswerWait, RetryPermit, wait_or_fail_over};
 use super::headers;
 use super::in_flight::InFlightGuard;
 use super::peer_relay::{RelayProgress, RequestOrigin, place_at_owner, place_at_peer, take_trial};
@@ -77,6 +77,8 @@
     pub is_counted: bool,
     /// Place at another endpoint that was granted because the current one is silent.
     pub next_run: Option<PlacedRun>,
+    /// Retry that was taken in advance, for leaving an endpoint on trial.
+    pub trial_retry: Option<RetryPermit>,
     /// Time of the last dispatch.
     pub dispatched_at: Option<Instant>,
     /// Whether that place was granted because the current endpoint is slow, which is no fault of it.
@@ -303,7 +305,10 @@
         let run = place_job(job).await?;
         let endpoint = Rc::clone(&run.endpoint);
         match send_job(job, run, None).await {
-            Ok(exchange) => return Ok(exchange),
+            Ok(exchange) => {
+                job.trial_retry = None;
+                return Ok(exchange);
+            }
             Err(failure) => {
                 job.edge.count(failure.cause());
                 log::info!(
@@ -338,9 +343,10 @@
             EdgeFault::NotRelayed.into()
         });
     }
-    if take_trial(job) {
+    if let Some(retry) = take_trial(job) {
         let placing = place_at_endpoint(job);
         if let Ok(Ok(run)) = compio::time::timeout(MAX_TRIAL_WAIT, placing).await {
+            job.trial_retry = Some(retry);
             return Ok(run);
         }
     }
@@ -415,7 +421,7 @@
 }
 
 /// Returns whether the request may be dispatched again after this failure.
-pub(crate) fn may_retry(job: &ForwardJob, failure: DispatchFailure) -> bool {
+pub(crate) fn may_retry(job: &mut ForwardJob, failure: DispatchFailure) -> bool {
     // The retry was taken from the budget together with the place.
     if job.next_run.is_some() {
         return true;
@@ -442,7 +448,11 @@
 }
 
 /// Takes one retry from the budget that all hosts share.
-fn take_retry(job: &ForwardJob) -> bool {
+fn take_retry(job: &mut ForwardJob) -> bool {
+    if let Some(retry) = job.trial_retry.take() {
+        retry.spend();
+        return true;
+    }
     let granted = {
         let state = &mut *job.edge.state.borrow_mut();
         state.budget.try_retry(&job.service, Instant::now())
--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -177,16 +177,17 @@
     format_compact!("host/{host}")
 }
 
-/// Returns whether a request is to be sent to an endpoint although this host reached none: one that
-/// may run once more elsewhere shows whether it does now.
-pub(super) fn take_trial(job: &ForwardJob) -> bool {
+/// Decides whether a request is to be sent to an endpoint although this host reached none: one that
+/// may run once more elsewhere shows whether it does now. Returns the retry for leaving the endpoint.
+pub(super) fn take_trial(job: &ForwardJob) -> Option<RetryPermit> {
     let leaves_run = job.runs == 0 && job.route.max_attempts > 1;
-    job.edge.is_isolated()
-        && !job.relay.origin.is_host()
-        && leaves_run
-        && job.may_fail_over()
-        && RetryPermit::is_available(job)
-        && job.edge.contact.borrow_mut().take_trial(Instant::now())
+    let is_suitable = leaves_run && job.may_fail_over() && !job.relay.origin.is_host();
+    if !is_suitable || !job.edge.is_isolated() {
+        return None;
+    }
+    let retry = RetryPermit::take(job)?;
+    let contact = &mut *job.edge.contact.borrow_mut();
+    contact.take_trial(Instant::now()).then_some(retry)
 }
 
 /// Returns a run at another host for a request of this host's caller, if this host reaches no
