Isolation: requests wait for the probe while the contact is in doubt

A host whose older connections live on learns of a cut when it opens new ones. Until the probe had confirmed it, about 0.1 s, orders were sent on new connections that were closed under them (502), and reads used up their attempts at one endpoint after the other (502, 503). Two copies of isolated_hosts.rs side by side showed it in one of four runs: "during, cut host 0: [502, 502]" with connections that half live on.

Change: requests that have failed at an endpoint, and those that can't be sent twice, wait for the result of a probe that is due, for 0.6 s at most.

Test: orders_wait_for_the_probe_while_the_contact_is_in_doubt, which failed in three of three runs before (6 to 7 of 8 orders lost) and passes in three of three now.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -336,6 +336,10 @@
     if let Err(retry_after) = job.edge.check_quarantine(&job.id, &job.contents) {
         return Err(quarantine_error(job, retry_after));
     }
+    if job.dispatches > 0 || !job.may_run_again() {
+        // Another failure could be the last one that the request may have.
+        job.edge.wait_for_probe().await;
+    }
     if job.relay.origin.is_host() && job.edge.is_isolated() {
         return Err(if job.is_sent {
             EdgeFault::EndpointBroken.into()
--- a/gateway/src/edge/isolation_control.rs
+++ b/gateway/src/edge/isolation_control.rs
@@ -22,6 +22,11 @@
 /// Time for which a new connection must stay open. One that is closed at once proves nothing.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(50);
 
+/// Time between two checks of whether the result of a probe is known.
+const RESULT_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum time for which a request waits for the result of a probe.
+const MAX_RESULT_WAIT: Duration = Duration::from_millis(600);
+
 impl Edge {
     /// Returns whether this host reaches no endpoint.
     pub(crate) fn is_isolated(&self) -> bool {
@@ -42,6 +47,21 @@
         }
     }
 
+    /// Waits for the result of a probe, if one is running or due because the contact is in doubt.
+    pub(crate) async fn wait_for_probe(&self) {
+        let known = self.known_endpoints();
+        let began = Instant::now();
+        while began.elapsed() < MAX_RESULT_WAIT
+            && !self.is_isolated()
+            && self
+                .contact
+                .borrow_mut()
+                .is_probe_due(known, Instant::now())
+        {
+            compio::time::sleep(RESULT_INTERVAL).await;
+        }
+    }
+
     /// Applies a change of the contact.
     pub(crate) fn apply_contact_change(&self, change: Option<ContactChange>) {
         match change {
