Isolation: a request whose connection was closed before it was sent counts as unsent

Cause: the mark that a request was sent is set before it is written, and stayed when nothing could be written. Change: it is taken back then.

No test of its own: whether a closed connection is noticed before the write or after it is a race in the socket.

--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -96,7 +96,7 @@
     job.runs += 1;
     let request = endpoint_request(job, &run, resume_after);
     job.in_flight.record_sent();
-    job.is_sent = true;
+    let was_sent = std::mem::replace(&mut job.is_sent, true);
     run.record_sent(!connection.reused);
     let sending = connection.send(request);
     let sent = match wait_or_fail_over(job, silence_limit(job), sending).await {
@@ -111,6 +111,7 @@
         Ok(response) => response,
         Err(SendFailure::NotSent) => {
             job.runs -= 1;
+            job.is_sent = was_sent;
             // That the endpoint closed an idle connection says nothing about its health.
             let end = if connection.reused {
                 job.tried.pop();
