Isolation: long silence of two endpoints isolates a host

Change: two endpoints that have both been silent for 1.8 s isolate as well. The time of each endpoint is kept, so that a request sent just now isn't taken for silence.

--- a/gateway/src/isolation/contact_monitor.rs
+++ b/gateway/src/isolation/contact_monitor.rs
@@ -19,6 +19,10 @@
 /// Silence of all endpoints after which the host counts as isolated, even if connections can be
 /// opened. A sound endpoint may be silent for about a second.
 const ISOLATING_SILENCE: Duration = Duration::from_millis(1_200);
+/// Number of different endpoints that isolate a host if each has been silent for `PAIR_SILENCE`. A
+/// host may use no more than that.
+const MIN_PAIR: usize = 2;
+const PAIR_SILENCE: Duration = Duration::from_millis(1_800);
 /// Time between two ticks after which the host was suspended in between.
 const MAX_TICK_GAP: Duration = Duration::from_millis(500);
 /// Time between two rounds of probes while nothing is reachable.
@@ -74,9 +78,8 @@
     runs: FastMap<TicketNumber, OpenRun>,
     /// Endpoints that failed on new connections since one of them answered on one.
     failed: FastMap<EndpointId, Instant>,
-    /// Endpoints to which requests were sent since any endpoint was heard.
-    unanswered: FastSet<EndpointId>,
-    unanswered_since: Option<Instant>,
+    /// Endpoints to which requests were sent since any endpoint was heard, and when first.
+    unanswered: FastMap<EndpointId, Instant>,
     next_probe: Option<Instant>,
     last_tick: Option<Instant>,
     /// Until then, the loss of contact counts as that of the endpoints.
@@ -98,8 +101,7 @@
         is_fresh: bool,
         now: Instant,
     ) {
-        self.unanswered.insert(endpoint.clone());
-        self.unanswered_since.get_or_insert(now);
+        self.unanswered.entry(endpoint.clone()).or_insert(now);
         let sent = now;
         self.runs.insert(ticket, OpenRun { is_fresh, sent });
     }
@@ -107,7 +109,6 @@
     /// Records that bytes of any endpoint arrived.
     pub fn record_bytes(&mut self) -> Option<ContactChange> {
         self.unanswered.clear();
-        self.unanswered_since = None;
         self.isolation
             .take_if(|isolation| isolation.cause == IsolationCause::Silent)
             .map(|_| ContactChange::Regained)
@@ -159,7 +160,7 @@
             .retain(|_, at| now.duration_since(*at) < FAILURE_MEMORY);
         self.failed.len() >= MIN_FAILED.min(known)
             || self.unanswered.len() >= MIN_FAILED.min(known)
-                && self.silence(now) >= DOUBTFUL_SILENCE
+                && self.silent_count(DOUBTFUL_SILENCE, now) > 0
     }
 
     /// Returns the endpoints that have failed, which a probe should leave out.
@@ -190,13 +191,14 @@
         let last_tick = self.last_tick.replace(now);
         if last_tick.is_some_and(|last| now.duration_since(last) > MAX_TICK_GAP) {
             // This host was suspended, and could not hear anybody.
-            self.unanswered_since = self.unanswered_since.map(|_| now);
+            self.unanswered.values_mut().for_each(|since| *since = now);
         }
         let Some(isolation) = &self.isolation else {
             let is_silent = self.unanswered.len() >= MIN_SILENT
-                && self.silence(now) >= ISOLATING_SILENCE
-                && !self.is_shared(now);
-            return is_silent.then(|| self.isolate(IsolationCause::Silent, now));
+                && self.silent_count(ISOLATING_SILENCE, now) > 0
+                || self.silent_count(PAIR_SILENCE, now) >= MIN_PAIR;
+            let is_isolating = is_silent && !self.is_shared(now);
+            return is_isolating.then(|| self.isolate(IsolationCause::Silent, now));
         };
         let reachable_since = isolation.reachable_since?;
         let last_trial = isolation.last_trial.max(Some(reachable_since))?;
@@ -233,9 +235,10 @@
         self.shared_until.is_some_and(|until| now < until)
     }
 
-    fn silence(&self, now: Instant) -> Duration {
-        self.unanswered_since
-            .map_or(Duration::ZERO, |since| now.duration_since(since))
+    /// Returns how many endpoints have been silent for at least `silence`.
+    fn silent_count(&self, silence: Duration, now: Instant) -> usize {
+        let ages = self.unanswered.values().map(|at| now.duration_since(*at));
+        ages.filter(|age| *age >= silence).count()
     }
 
     fn isolate(&mut self, cause: IsolationCause, now: Instant) -> ContactChange {
@@ -247,7 +250,6 @@
         });
         self.failed.clear();
         self.unanswered.clear();
-        self.unanswered_since = None;
         ContactChange::Lost
     }
 }
--- a/gateway/tests/isolation.rs
+++ b/gateway/tests/isolation.rs
@@ -122,6 +122,21 @@
     );
 }
 
+/// Guards against a host that uses two endpoints and never counts as isolated, and against one that
+/// counts a request that was sent just now as silence.
+#[test]
+fn long_silence_of_two_endpoints_isolates() {
+    let mut session = Session::new();
+    session.send(1, "e1", true, 0);
+    for millis in (0..=2_500).step_by(100) {
+        if millis == 700 {
+            session.send(2, "e2", true, millis);
+        }
+        session.tick(millis);
+    }
+    assert_eq!(session.changes, [(2_500, ContactChange::Lost)]);
+}
+
 /// Guards against a host that takes the time for which it was suspended for silence of endpoints.
 #[test]
 fn a_host_that_was_suspended_is_not_isolated() {
