Answers passed on by other hosts say that a service is brittle

Cause: a host without a place sends its requests through other hosts and heard of the service only in its own answers, so it forgot the statement after 10 s, and all such hosts began to send to the endpoints at once.

Change: the answer that another host passes back is read for the statement too. The counter and the log line of the statement now also show a host that had forgotten it; before, hearing it again after 10 s was not counted.

--- a/gateway/src/edge/answer_signals.rs
+++ b/gateway/src/edge/answer_signals.rs
@@ -9,6 +9,7 @@
 use super::state::Edge;
 use crate::backpressure::{EndpointSignal, RateMilli, SignalChange, parse_pause, parse_rate_limit};
 use crate::catalog::EndpointEntry;
+use crate::ids::{EndpointId, ServiceName};
 use crate::scheduler::SchedulerEvent;
 
 /// Value of a header of which an answer should contain at most one.
@@ -57,10 +58,7 @@
             asked,
         });
     };
-    let ignore = |name: &HeaderName| {
-        edge.count("signal_malformed");
-        log::warn!(endpoint = endpoint.id.as_str(), header = name.as_str(); "endpoint: malformed header ignored");
-    };
+    let ignore = |name| ignore_header(edge, &endpoint.id, name);
     match read_header(head, &names.rate_limit, parse_rate_limit) {
         HeaderReading::Valid(limit) => record(EndpointSignal::RateLimit(limit)),
         HeaderReading::Missing if is_signed => record(EndpointSignal::NoRateLimit),
@@ -72,12 +70,7 @@
         HeaderReading::Missing => {}
         HeaderReading::Malformed => ignore(&names.leaving),
     }
-    match read_header(head, &names.brittle, parse_borne_rejections) {
-        HeaderReading::Valid(()) => edge.record_brittleness(endpoint, true, asked),
-        HeaderReading::Missing if is_signed => edge.record_brittleness(endpoint, false, asked),
-        HeaderReading::Missing => {}
-        HeaderReading::Malformed => ignore(&names.brittle),
-    }
+    record_brittleness(edge, &endpoint.service, &endpoint.id, head, asked);
     if status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
@@ -88,6 +81,34 @@
     }
 }
 
+/// Passes to the scheduler whether an answer says that its service is brittle. A host that has no
+/// place at the endpoints hears of it only in the answers that `sender`, another host, passes back.
+pub(super) fn record_brittleness(
+    edge: &Edge,
+    service: &ServiceName,
+    sender: &EndpointId,
+    head: &HeaderMap,
+    asked: Instant,
+) {
+    let names = &edge.dialect.headers;
+    let is_brittle = match read_header(head, &names.brittle, parse_borne_rejections) {
+        HeaderReading::Valid(()) => true,
+        HeaderReading::Missing if head.contains_key(&names.signature) => false,
+        HeaderReading::Missing => return,
+        HeaderReading::Malformed => return ignore_header(edge, sender, &names.brittle),
+    };
+    let scheduler = &mut edge.state.borrow_mut().scheduler;
+    if scheduler.apply_brittleness(service, is_brittle, asked, Instant::now()) {
+        edge.count("brittleness_changed");
+        log::info!(service = service.as_str(), brittle = is_brittle, endpoint = sender.as_str(); "service: brittleness changed");
+    }
+}
+
+fn ignore_header(edge: &Edge, sender: &EndpointId, name: &HeaderName) {
+    edge.count("signal_malformed");
+    log::warn!(endpoint = sender.as_str(), header = name.as_str(); "endpoint: malformed header ignored");
+}
+
 /// Checks the number of rejections that a brittle endpoint bears in a second. The number itself does
 /// not matter: hosts send such an endpoint no more than it has places for.
 fn parse_borne_rejections(text: &str) -> Option<()> {
@@ -96,16 +117,6 @@
 }
 
 impl Edge {
-    /// Records whether an endpoint says that it is brittle.
-    fn record_brittleness(&self, endpoint: &EndpointEntry, is_brittle: bool, asked: Instant) {
-        let scheduler = &mut self.state.borrow_mut().scheduler;
-        let service = &endpoint.service;
-        if scheduler.apply_brittleness(service, is_brittle, asked, Instant::now()) {
-            self.count("brittleness_changed");
-            log::info!(service = service.as_str(), brittle = is_brittle, endpoint = endpoint.id.as_str(); "service: brittleness changed");
-        }
-    }
-
     /// Counts and logs a change of what is known of an endpoint.
     pub(super) fn log_signal_change(&self, endpoint: &str, change: SignalChange, reported: bool) {
         let source = if reported { "peer" } else { "answer" };
--- a/gateway/src/edge/dispatch.rs
+++ b/gateway/src/edge/dispatch.rs
@@ -8,7 +8,7 @@
 use http_util::SendFailure;
 use hyper::body::Incoming;
 
-use super::answer_signals::record_signals;
+use super::answer_signals::{record_brittleness, record_signals};
 use super::connection_pool::EndpointConnection;
 use super::failover::{AnswerWait, wait_or_fail_over};
 use super::forward::{EndpointExchange, ForwardJob};
@@ -200,13 +200,12 @@
     asked: Instant,
 ) -> Result<EndpointExchange, DispatchFailure> {
     let status = response.status();
-    let is_unsigned = status.is_success()
-        && !response
-            .headers()
-            .contains_key(&job.edge.dialect.headers.signature);
-    if is_unsigned {
+    let head = response.headers();
+    let is_signed = head.contains_key(&job.edge.dialect.headers.signature);
+    if status.is_success() && !is_signed {
         return Err(DispatchFailure::MayHaveRun);
     }
+    record_brittleness(&job.edge, &job.service, &run.endpoint.id, head, asked);
     if promises_not_run(status) {
         job.runs -= 1;
         if job.runs > 0 {
--- a/gateway/src/scheduler/brittle_services.rs
+++ b/gateway/src/scheduler/brittle_services.rs
@@ -33,7 +33,9 @@
         now: Instant,
     ) -> bool {
         if is_brittle {
-            return self.heard.insert(service.clone(), now).is_none();
+            let was_known = self.contains(service, now);
+            self.heard.insert(service.clone(), now);
+            return !was_known;
         }
         // Answers of requests that run side by side arrive in any order.
         let is_ended = self.heard.get(service).is_some_and(|heard| asked > *heard);
