--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -155,21 +155,30 @@
             let change = self.contact.borrow_mut().share_loss(now);
             self.apply_contact_change(change);
         }
-        let untried = candidates
-            .into_iter()
-            .filter(|host| !job.tried.contains(&relay_id(*host)));
-        untried.choose(&mut *self.random.borrow_mut())
+        self.draw_untried(job, candidates)
     }
 
     /// Returns the hosts that may reach endpoints.
     fn relay_candidates(&self, now: Instant) -> Vec<HostAddress> {
-        let avoided = &mut *self.avoided_relays.borrow_mut();
-        avoided.retain(|_, until| now < *until);
         let peers = self.state.borrow().members.serving(now);
-        let candidates = peers.into_iter().map(|(host, _)| host);
+        let mut candidates: Vec<_> = peers.into_iter().map(|(host, _)| host).collect();
+        self.remove_avoided(&mut candidates, now);
         candidates
-            .filter(|host| !avoided.contains_key(host))
-            .collect()
+    }
+
+    /// Removes the hosts that did not take a request shortly ago.
+    fn remove_avoided(&self, hosts: &mut Vec<HostAddress>, now: Instant) {
+        let avoided = &mut *self.avoided_relays.borrow_mut();
+        avoided.retain(|_, until| now < *until);
+        hosts.retain(|host| !avoided.contains_key(host));
+    }
+
+    /// Draws a host that has not been tried for the request.
+    fn draw_untried(&self, job: &ForwardJob, hosts: Vec<HostAddress>) -> Option<HostAddress> {
+        let untried = hosts
+            .into_iter()
+            .filter(|host| !job.tried.contains(&relay_id(*host)));
+        untried.choose(&mut *self.random.borrow_mut())
     }
 }
 
@@ -204,15 +213,17 @@
 /// Returns a run at a host that has places at the endpoints of a brittle service, if this host has
 /// none.
 pub(super) fn place_at_owner(job: &ForwardJob) -> Option<PlacedRun> {
-    if job.relay.origin.is_host() || job.relay.hosts > 0 {
+    if job.relay.origin.is_host() || job.relay.hosts >= MAX_RELAYS {
         return None;
     }
     let edge = &job.edge;
-    let owners = {
+    let now = Instant::now();
+    let mut owners = {
         let scheduler = &edge.state.borrow().scheduler;
-        scheduler.place_owners(&job.service, Instant::now())
+        scheduler.place_owners(&job.service, now)
     };
-    let owner = owners.into_iter().choose(&mut *edge.random.borrow_mut())?;
+    edge.remove_avoided(&mut owners, now);
+    let owner = edge.draw_untried(job, owners)?;
     Some(run_at(job, owner))
 }
 
