Hosts whose only brittle endpoint is gone use the places of others

Cause: places were looked up at all endpoints of the service, also at those that the host knows it can't reach. Its requests waited for such a place until their time was over.

Change: only endpoints to which requests may be sent now count. A host that is passed a request but has no place for it says so at once (421, not run), and the first host asks another owner; if all have turned requests away, one is asked. A host with two places is asked twice as often as one with one.

--- a/gateway/src/edge/forward.rs
+++ b/gateway/src/edge/forward.rs
@@ -21,7 +21,9 @@
 use super::failover::{AnswerWait, RetryPermit, wait_or_fail_over};
 use super::headers;
 use super::in_flight::InFlightGuard;
-use super::peer_relay::{RelayProgress, RequestOrigin, place_at_owner, place_at_peer, take_trial};
+use super::peer_relay::{
+    RelayProgress, RequestOrigin, lacks_place, place_at_owner, place_at_peer, take_trial,
+};
 use super::placement::{PlacedRun, place_request};
 use super::reply::{EdgeFault, fault_reply};
 use super::state::Edge;
@@ -347,6 +349,10 @@
             EdgeFault::NotRelayed.into()
         });
     }
+    let is_unrun = job.runs == job.relay.origin.runs();
+    if job.relay.origin.is_host() && is_unrun && lacks_place(job) {
+        return Err(EdgeFault::NotRelayed.into());
+    }
     if let Some(retry) = take_trial(job) {
         let placing = place_at_endpoint(job);
         if let Ok(Ok(run)) = compio::time::timeout(MAX_TRIAL_WAIT, placing).await {
--- a/gateway/src/edge/peer_relay.rs
+++ b/gateway/src/edge/peer_relay.rs
@@ -213,20 +213,33 @@
 /// Returns a run at a host that has places at the endpoints of a brittle service, if this host has
 /// none.
 pub(super) fn place_at_owner(job: &ForwardJob) -> Option<PlacedRun> {
-    if job.relay.origin.is_host() || job.relay.hosts >= MAX_RELAYS {
+    let is_passed_on = job.relay.origin.is_host();
+    if is_passed_on || job.relay.hosts >= MAX_RELAYS || !lacks_place(job) {
         return None;
     }
     let edge = &job.edge;
     let now = Instant::now();
-    let mut owners = {
-        let scheduler = &edge.state.borrow().scheduler;
-        scheduler.place_owners(&job.service, now)
-    };
-    edge.remove_avoided(&mut owners, now);
-    let owner = edge.draw_untried(job, owners)?;
+    let owners = edge
+        .state
+        .borrow()
+        .scheduler
+        .place_owners(&job.service, now);
+    let mut candidates = owners.clone();
+    edge.remove_avoided(&mut candidates, now);
+    if candidates.is_empty() && job.relay.hosts == 0 {
+        // One of them notices when an endpoint is back.
+        candidates = owners;
+    }
+    let owner = edge.draw_untried(job, candidates)?;
     Some(run_at(job, owner))
 }
 
+/// Returns whether the service of a request is brittle and this host has no place at its endpoints.
+pub(super) fn lacks_place(job: &ForwardJob) -> bool {
+    let scheduler = &job.edge.state.borrow().scheduler;
+    scheduler.lacks_place(&job.service, Instant::now())
+}
+
 fn run_at(job: &ForwardJob, peer: HostAddress) -> PlacedRun {
     let entry = EndpointEntry {
         id: relay_id(peer),
--- a/gateway/src/scheduler/brittle_services.rs
+++ b/gateway/src/scheduler/brittle_services.rs
@@ -9,7 +9,7 @@
 
 use super::endpoint_load::EndpointLoad;
 use super::state::SchedulerState;
-use crate::ids::{FastMap, FastSet, HostAddress, ServiceName};
+use crate::ids::{FastMap, HostAddress, ServiceName};
 use crate::rendezvous::{host_rank, hosts_before};
 
 /// Time for which a statement holds if no later answer of the service says otherwise.
@@ -77,25 +77,41 @@
             .apply_answer(service, is_brittle, asked, now)
     }
 
-    /// Returns the hosts to which the places of a brittle service belong, if none belongs to this
-    /// host.
+    /// Returns whether a service is brittle and none of the places at its usable endpoints belongs
+    /// to this host.
     #[must_use]
-    pub fn place_owners(&self, service: &ServiceName, now: Instant) -> Vec<HostAddress> {
+    pub fn lacks_place(&self, service: &ServiceName, now: Instant) -> bool {
         let services = &self.brittle_services;
-        let Some((own, hosts)) = services.sharers(service, self.own_host, &self.live_hosts, now)
-        else {
-            return Vec::new();
-        };
-        let loads = self.loads.iter().filter(|load| {
+        let sharers = services.sharers(service, self.own_host, &self.live_hosts, now);
+        sharers.is_some_and(|(own, hosts)| {
+            let mut loads = self.usable_loads(service, now);
+            !loads.any(|load| place_share(load, own, hosts) > 0)
+        })
+    }
+
+    /// Returns the hosts to which the places at the usable endpoints of a brittle service belong,
+    /// each as often as it has places, if there are fewer places than hosts at each.
+    #[must_use]
+    pub fn place_owners(&self, service: &ServiceName, now: Instant) -> Vec<HostAddress> {
+        let loads = self.usable_loads(service, now);
+        loads
+            .flat_map(|load| first_hosts(load, &self.live_hosts))
+            .collect()
+    }
+
+    /// Returns the endpoints of a service to which requests may be sent now.
+    fn usable_loads<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a EndpointLoad> {
+        self.loads.iter().filter(move |load| {
             let entry = &load.entry;
-            entry.service == *service && !entry.draining
-        });
-        if loads.clone().any(|load| place_share(load, own, hosts) > 0) {
-            return Vec::new();
-        }
-        // An endpoint where this host has no place has fewer places than there are hosts.
-        let owners: FastSet<_> = loads.flat_map(|load| first_hosts(load, hosts)).collect();
-        owners.into_iter().collect()
+            entry.service == *service
+                && !entry.draining
+                && !self.is_evacuated(&entry.zone)
+                && !load.health.is_blocked(now)
+        })
     }
 }
 
--- a/gateway/tests/scheduler.rs
+++ b/gateway/tests/scheduler.rs
@@ -481,3 +481,37 @@
     // At most eight senders, each of which may also send what has waited.
     assert!((1..=24).contains(&later), "{later}");
 }
+
+/// Guards against a host that keeps its requests for the place that it has at a brittle endpoint
+/// which can't be reached, although other hosts have places at others.
+#[test]
+fn a_host_whose_only_brittle_endpoint_is_unreachable_lacks_a_place() {
+    let now = Instant::now();
+    let hosts: Vec<_> = (1..=14).map(host).collect();
+    let endpoints = [endpoint("north", "a"), endpoint("south", "a")];
+    let mut losing = Vec::new();
+    for own_host in &hosts {
+        let mut state = scheduler(&endpoints, false, now);
+        let joined = SchedulerEvent::HostsChanged {
+            own_host: *own_host,
+            hosts: hosts.clone(),
+            hosts_in_zone: hosts.len(),
+        };
+        state.reduce(joined, now);
+        state.reduce(SchedulerEvent::LiveHostsChanged(hosts.clone()), now);
+        let item = work(1, 1, now);
+        let service = item.service.clone();
+        state.apply_brittleness(&service, true, now, now);
+        if state.lacks_place(&service, now) {
+            continue;
+        }
+        state.reduce(SchedulerEvent::Submitted(item), now);
+        state.reduce(run_ended(1, RunEnd::Unreachable), now);
+        let owners = state.place_owners(&service, now);
+        let lacks_place = state.lacks_place(&service, now);
+        assert_eq!(lacks_place, !owners.contains(own_host), "{own_host}");
+        assert_eq!(owners.len(), usize::try_from(SLOTS).unwrap(), "{own_host}");
+        losing.extend(lacks_place.then(|| own_host.to_string()));
+    }
+    insta::assert_snapshot!(losing.join(" "), @"10.0.0.6 10.0.0.8 10.0.0.9 10.0.0.11");
+}
