Isolated hosts keep no places, shares of limits or trials

Cause: places at brittle endpoints belong to all live hosts, also to those that reach no endpoint and can't use them. Shares of an endpoint's limit and the trials of blocked contents are dealt out over the same hosts.

Change: hosts say in their heartbeats that they are isolated, and others don't count them when they deal out places, shares and trials.

--- a/gateway/src/edge/peer_messages.rs
+++ b/gateway/src/edge/peer_messages.rs
@@ -6,7 +6,7 @@
 use crate::ids::{FastMap, FastSet, HostAddress, Incarnation, NameHash, ZoneName};
 use crate::membership::{
     CellSummary, FeedPosition, FeedUpdate, HubSummary, HubSums, HubTotals, MemberChange,
-    MemberReport, PeerHeartbeat, SignalDigest, SummaryOutcome,
+    MemberReport, MemberStage, PeerHeartbeat, SignalDigest, SummaryOutcome,
 };
 use crate::scheduler::{EndpointReport, PaceReport, SchedulerEvent};
 
@@ -57,8 +57,8 @@
 /// Host states last included in this hub's summaries.
 #[derive(Debug, Default)]
 pub(crate) struct SentMembers {
-    /// Incarnation, readiness and leaving flag by host.
-    states: FastMap<HostAddress, (Incarnation, bool, bool)>,
+    /// Incarnation and stage by host.
+    states: FastMap<HostAddress, (Incarnation, MemberStage)>,
     cell_turn: usize,
 }
 
@@ -75,7 +75,7 @@
         let zone_in_turn = zones.get(self.cell_turn).cloned().unwrap_or_default();
         let mut selected = Vec::new();
         for report in reports {
-            let state = (report.incarnation, report.ready, report.leaving);
+            let state = (report.incarnation, report.stage);
             let changed = self.states.insert(report.host, state) != Some(state);
             if changed || report.zone == *cell || report.zone == zone_in_turn {
                 selected.push(report);
@@ -130,7 +130,7 @@
         }
         if change == MemberChange::Appeared {
             self.update_relay_plan(now);
-            log::info!(peer = heartbeat.sender.host.to_string().as_str(), zone = heartbeat.sender.zone.as_str(), ready = heartbeat.sender.ready; "peer: became reachable");
+            log::info!(peer = heartbeat.sender.host.to_string().as_str(), zone = heartbeat.sender.zone.as_str(), stage:? = heartbeat.sender.stage; "peer: became reachable");
         }
         if !heartbeat.paces.is_empty() {
             self.schedule(SchedulerEvent::PacesObserved(heartbeat.paces));
@@ -419,9 +419,21 @@
         heartbeat
     }
 
+    fn own_stage(&self) -> MemberStage {
+        if self.state.borrow().leaving_since.is_some() {
+            MemberStage::Leaving
+        } else if !self.is_ready() {
+            MemberStage::Starting
+        } else if self.is_isolated() {
+            MemberStage::Isolated
+        } else {
+            MemberStage::Serving
+        }
+    }
+
     /// Builds the next heartbeat without pace reports.
     pub(crate) fn base_heartbeat(&self) -> PeerHeartbeat {
-        let ready = self.is_ready();
+        let own_stage = self.own_stage();
         let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
         state.heartbeat_number += 1;
@@ -431,8 +443,7 @@
                 zone: self.settings.zone.clone(),
                 incarnation: self.incarnation,
                 sequence: state.heartbeat_number,
-                ready,
-                leaving: state.leaving_since.is_some(),
+                stage: own_stage,
                 cpu_permille: self.settings.cpu_permille,
             },
             config_version: state.catalog.version(),
--- a/gateway/src/membership/hubs.rs
+++ b/gateway/src/membership/hubs.rs
@@ -24,6 +24,18 @@
 /// Number of hubs of a cell.
 pub const HUBS_PER_CELL: usize = 2;
 
+/// What a host does now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberStage {
+    /// It does not serve callers yet.
+    Starting,
+    Serving,
+    /// It serves callers, and reaches no endpoint.
+    Isolated,
+    /// It is about to stop.
+    Leaving,
+}
+
 /// The state of one host. The host reports it in its heartbeats, hubs pass it on in their
 /// summaries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,10 +44,7 @@
     pub zone: ZoneName,
     pub incarnation: Incarnation,
     pub sequence: u64,
-    /// Whether the host serves callers.
-    pub ready: bool,
-    /// Whether the host is about to stop.
-    pub leaving: bool,
+    pub stage: MemberStage,
     /// Size of the host, in thousandths of a core.
     pub cpu_permille: u32,
 }
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::hubs::MemberReport;
+use super::hubs::{MemberReport, MemberStage};
 use super::peer_message::PeerHeartbeat;
 use super::relay_plan::{MAX_CELL_HOSTS, RelayCandidate, RelayPlan};
 use crate::ids::{FastMap, HostAddress, Incarnation, ZoneName};
@@ -109,8 +109,7 @@
                 zone: ZoneName::default(),
                 incarnation: 0,
                 sequence: 0,
-                ready: false,
-                leaving: false,
+                stage: MemberStage::Starting,
                 cpu_permille: 0,
             },
             last_heard: None,
@@ -211,9 +210,9 @@
     /// `own_cpu_permille`: the size of this host in thousandths of a core.
     pub fn plan(&mut self, own_zone: &ZoneName, own_cpu_permille: u32, now: Instant) -> RelayPlan {
         let recent = || {
-            self.members
-                .iter()
-                .filter(|(_, member)| !member.report.leaving && is_recent(member, now))
+            self.members.iter().filter(|(_, member)| {
+                member.report.stage != MemberStage::Leaving && is_recent(member, now)
+            })
         };
         let has_cells = recent().count() >= MAX_CELL_HOSTS;
         let cell_of = |member: &MemberEntry| has_cells.then(|| member.report.zone.clone());
@@ -351,7 +350,10 @@
     #[must_use]
     pub fn serving(&self, now: Instant) -> Vec<(HostAddress, ZoneName)> {
         let serving = self.members.iter().filter(|(_, member)| {
-            member.report.ready && !member.report.leaving && is_reachable(member, now)
+            matches!(
+                member.report.stage,
+                MemberStage::Serving | MemberStage::Isolated
+            ) && is_reachable(member, now)
         });
         serving
             .map(|(host, member)| (*host, member.report.zone.clone()))
@@ -386,19 +388,21 @@
     pub fn is_elected(&self, count: usize, now: Instant) -> bool {
         let lower = self.members.iter().filter(|(host, member)| {
             **host < self.own
-                && !member.report.leaving
+                && member.report.stage != MemberStage::Leaving
                 && is_heard_within(member, SUSPICION_TIMEOUT, now)
         });
         lower.count() < count
     }
 
-    /// Returns the hosts that were heard recently and are not about to stop, and this host.
+    /// Returns the hosts that were heard recently, reach endpoints and are not about to stop, and
+    /// this host.
     #[must_use]
     pub fn live(&self, now: Instant) -> Vec<HostAddress> {
-        let heard = self
-            .members
-            .iter()
-            .filter(|(_, member)| !member.report.leaving && is_reachable(member, now));
+        let heard = self.members.iter().filter(|(_, member)| {
+            let stage = member.report.stage;
+            !matches!(stage, MemberStage::Isolated | MemberStage::Leaving)
+                && is_reachable(member, now)
+        });
         let mut live: Vec<_> = heard.map(|(host, _)| *host).chain([self.own]).collect();
         live.sort_unstable();
         live
@@ -443,7 +447,9 @@
     /// Returns the hosts that were heard and are not about to stop.
     fn staying_members(&self) -> impl Iterator<Item = (&HostAddress, &MemberEntry)> {
         let members = self.members.iter();
-        members.filter(|(_, member)| member.last_heard.is_some() && !member.report.leaving)
+        members.filter(|(_, member)| {
+            member.last_heard.is_some() && member.report.stage != MemberStage::Leaving
+        })
     }
 
     fn reaches_most_hosts(&self, now: Instant) -> bool {
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -18,7 +18,7 @@
 pub use hub_choice::{HubChoice, SummaryOutcome};
 pub use hubs::{
     CellSummary, HUBS_PER_CELL, HubSummary, HubSums, HubTally, HubTotals, MAX_DIRECT_HOSTS,
-    MemberReport,
+    MemberReport, MemberStage,
 };
 pub use log_position::LogPosition;
 pub use members::{MemberChange, MemberTable, MemberView};
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -7,7 +7,7 @@
 
 use gateway::catalog::{EndpointEntry, ServiceEntry};
 use gateway::configs::SchedulerSettings;
-use gateway::membership::{MemberReport, PeerHeartbeat};
+use gateway::membership::{MemberReport, MemberStage, PeerHeartbeat};
 use gateway::scheduler::{SchedulerEffect, SchedulerEvent, SchedulerState, WorkItem};
 
 pub const SLOTS: u32 = 4;
@@ -24,8 +24,7 @@
             zone: "a".into(),
             incarnation,
             sequence,
-            ready: true,
-            leaving: false,
+            stage: MemberStage::Serving,
             cpu_permille: 250,
         },
         config_version: 0,
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -9,8 +9,8 @@
 use common::{heartbeat, host};
 use gateway::membership::{
     FeedAction, FeedPosition, FeedPositions, FeedTopic, FeedUpdate, HubChoice, HubSummary, HubSums,
-    HubTally, LogPosition, MAX_DATAGRAM_BYTES, MemberChange, MemberTable, PeerHeartbeat,
-    PeerMessage, SummaryOutcome, UpdateQueue,
+    HubTally, LogPosition, MAX_DATAGRAM_BYTES, MemberChange, MemberStage, MemberTable,
+    PeerHeartbeat, PeerMessage, SummaryOutcome, UpdateQueue,
 };
 use seeds::check_seeds;
 
@@ -32,10 +32,10 @@
     table.add_host(host(9), now);
     table.apply_heartbeat(&heartbeat(2, 1, 1), now);
     let mut leaving = heartbeat(3, 1, 1);
-    leaving.sender.leaving = true;
+    leaving.sender.stage = MemberStage::Leaving;
     table.apply_heartbeat(&leaving, now);
     let mut starting = heartbeat(4, 1, 1);
-    starting.sender.ready = false;
+    starting.sender.stage = MemberStage::Starting;
     table.apply_heartbeat(&starting, now);
     assert_eq!(serving(&table, now), [host(2)]);
     assert!(serving(&table, now + Duration::from_millis(2_100)).is_empty());
@@ -54,7 +54,7 @@
         table.apply_heartbeat(&heartbeat(number, 1, 1), now);
     }
     let mut leaving = heartbeat(5, 1, 1);
-    leaving.sender.leaving = true;
+    leaving.sender.stage = MemberStage::Leaving;
     table.apply_heartbeat(&leaving, now);
     assert_eq!(table.budget_hosts(true, window, now), 5);
     let later = now + Duration::from_secs(14);
