--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -41,6 +41,21 @@
     assert!(serving(&table, now + Duration::from_millis(2_100)).is_empty());
 }
 
+/// Guards against shares of endpoints that are left to hosts which reach none, and against callers
+/// who are sent away from them.
+#[test]
+fn isolated_hosts_serve_callers_without_a_share_of_endpoints() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(host(1));
+    let mut isolated = heartbeat(2, 1, 1);
+    isolated.sender.stage = MemberStage::Isolated;
+    table.apply_heartbeat(&isolated, now);
+    assert_eq!(serving(&table, now), [host(2)]);
+    assert_eq!(table.live(now), [host(1)]);
+    table.apply_heartbeat(&heartbeat(2, 1, 2), now);
+    assert_eq!(table.live(now), [host(1), host(2)]);
+}
+
 /// Guards against hosts that take over the retries of hosts that are stopping, that have just
 /// stopped, or that are on the other side of a partition.
 #[test]
