--- a/gateway/src/edge/datagrams.rs
+++ b/gateway/src/edge/datagrams.rs
@@ -181,7 +181,7 @@
                 }
             }
             Some(PeerMessage::DutyReply(reply)) => edge.apply_duty_reply(reply),
-            None => edge.count("beat_unreadable"),
+            None => edge.record_unreadable(sender.ip(), length),
         }
     }
 }
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod answer_signals;
 mod body;
 mod catalog_changes;
+mod config_lag;
 mod connection_pool;
 mod datagrams;
 mod dialect;
--- a/gateway/src/edge/peer_messages.rs
+++ b/gateway/src/edge/peer_messages.rs
@@ -16,6 +16,8 @@
 /// Maximum number of reachable hosts listed in a heartbeat. The list lets a new host discover all
 /// others through any single host.
 const MAX_HEARD_PER_HEARTBEAT: usize = 8;
+/// Maximum number of senders of unreadable datagrams that are logged.
+const MAX_UNREADABLE_SENDERS: usize = 512;
 
 /// Optional parts of a summary round. Most rounds leave them out.
 #[derive(Clone, Copy, Debug)]
@@ -240,6 +242,15 @@
         }
     }
 
+    /// Records that a datagram of another host cannot be read.
+    pub(crate) fn record_unreadable(&self, sender: HostAddress, length: usize) {
+        self.count("beat_unreadable");
+        let senders = &mut self.state.borrow_mut().unreadable_senders;
+        if senders.len() < MAX_UNREADABLE_SENDERS && senders.insert(sender) {
+            log::warn!(peer = sender.to_string().as_str(), bytes = length; "peer: datagram not readable");
+        }
+    }
+
     /// Applies what another host has heard of endpoints.
     pub(crate) fn apply_signal_digest(&self, digest: SignalDigest) {
         if digest.sender != self.settings.host {
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::config_lag::ConfigLag;
 use super::connection_pool::ConnectionPool;
 use super::dialect::{CatalogArchive, WireDialect};
 use super::duty_control::read_clocks;
@@ -22,7 +23,7 @@
 use crate::configs::SchedulerSettings;
 use crate::duties::DutyState;
 use crate::hedging::HedgeControl;
-use crate::ids::{FastMap, HostAddress, Incarnation, TicketNumber};
+use crate::ids::{FastMap, FastSet, HostAddress, Incarnation, TicketNumber};
 use crate::isolation::ContactMonitor;
 use crate::limits::{RetryBudget, UsageCaps};
 use crate::membership::{
@@ -70,6 +71,9 @@
     pub received_updates: UpdateQueue,
     /// Tasks that wait for the next update of the store.
     pub(super) update_waiters: Vec<oneshot::Sender<()>>,
+    pub(super) config_lag: ConfigLag,
+    /// Hosts whose datagrams this host cannot read, each of which is logged once.
+    pub(super) unreadable_senders: FastSet<HostAddress>,
     /// Sequence number of the last summary that was sent.
     pub summary_number: u64,
     /// Whether a feed position has changed since the last heartbeat.
@@ -158,6 +162,8 @@
             updates_to_forward: UpdateQueue::new(MAX_SUMMARY_UPDATE_BYTES),
             received_updates: UpdateQueue::new(MAX_RECEIVED_UPDATE_BYTES),
             update_waiters: Vec::new(),
+            config_lag: ConfigLag::default(),
+            unreadable_senders: FastSet::default(),
             summary_number: 0,
             feed_positions_changed: false,
             removals: RemovalHold::default(),
@@ -381,6 +387,7 @@
             });
         }
         self.update_live_hosts(now);
+        self.observe_config_lag(now);
         self.tick_quarantine(now);
         self.observe_duty_load(now);
         self.update_kept_shares(now);
