Feeds: what other hosts have is taken while the store doesn't respond

Cause: one loop read the store, applied what hubs relayed and asked other hosts, in turn.

A host whose configuration changes says so in its next heartbeat.

--- a/gateway/src/edge/catalog_changes.rs
+++ b/gateway/src/edge/catalog_changes.rs
@@ -94,6 +94,7 @@
                 return;
             }
             log::info!(before = before, version = version; "config: in force");
+            state.heartbeat_due = true;
             let routing = state.catalog.routing();
             state.caps.apply_workspaces(routing.workspaces(), now);
             if let Some(duties) = &mut state.duties {
--- a/gateway/src/edge/datagrams.rs
+++ b/gateway/src/edge/datagrams.rs
@@ -41,8 +41,8 @@
             let state = &mut *edge.state.borrow_mut();
             let load = state.scheduler.take_load_changed();
             let usage = state.caps.take_changed();
-            let positions = std::mem::take(&mut state.feed_positions_changed);
-            load || usage || positions
+            let is_due = std::mem::take(&mut state.heartbeat_due);
+            load || usage || is_due
         };
         if due || changed {
             send_heartbeat(&edge, &socket).await;
--- a/gateway/src/edge/hosts.rs
+++ b/gateway/src/edge/hosts.rs
@@ -1,11 +1,14 @@
 //! What this host knows of the other hosts: the relay plan, the directory and peer addresses.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use rand::seq::SliceRandom;
+
 use super::state::Edge;
 use crate::ids::{HostAddress, ZoneName};
-use crate::membership::select_hosts;
+use crate::membership::{FeedTopic, LogPosition, select_hosts};
 use crate::scheduler::SchedulerEvent;
 
 impl Edge {
@@ -71,30 +74,43 @@
         self.schedule(SchedulerEvent::LiveHostsChanged(hosts));
     }
 
-    /// Returns the control addresses of the reachable hosts.
+    /// Returns the newest version of the configuration that a reachable host has, if this host has an
+    /// older one.
+    #[must_use]
+    pub fn newer_configuration(&self) -> Option<u64> {
+        let state = self.state.borrow();
+        let (_, version) = state.members.newest_configuration(Instant::now())?;
+        (version > state.catalog.version()).then_some(version)
+    }
+
+    /// Returns the control addresses of the reachable hosts in random order. Those that have a newer
+    /// configuration than this host, or have read a topic beyond `known_end`, come first.
     #[must_use]
-    pub fn peer_control_addresses(&self) -> Vec<SocketAddr> {
+    pub fn peers_to_query(
+        &self,
+        topic: FeedTopic,
+        known_end: Option<LogPosition>,
+    ) -> Vec<SocketAddr> {
         let Some(own_address) = self.settings.control_address else {
             return Vec::new();
         };
         let state = self.state.borrow();
-        let peers = state.members.reachable(usize::MAX, Instant::now());
+        let version = state.catalog.version();
+        let positions = &state.feed_positions;
+        let mut peers = state.members.reachable(usize::MAX, Instant::now());
+        peers.shuffle(&mut *self.random.borrow_mut());
+        peers.sort_by_key(|host| {
+            let is_newer = topic == FeedTopic::Operators
+                && state.members.configuration_of(*host) > Some(version);
+            let is_ahead = positions.position_of(*host, topic) > known_end;
+            Reverse((is_newer, is_ahead))
+        });
         peers
             .into_iter()
             .map(|host| (host, own_address.port()).into())
             .collect()
     }
 
-    /// Returns the control address of a reachable host that has the newest configuration, with its
-    /// version, if this host has an older one.
-    #[must_use]
-    pub fn newest_configuration_peer(&self) -> Option<(SocketAddr, u64)> {
-        let port = self.settings.control_address?.port();
-        let state = self.state.borrow();
-        let (host, version) = state.members.newest_configuration(Instant::now())?;
-        (version > state.catalog.version()).then(|| ((host, port).into(), version))
-    }
-
     /// Returns addresses of serving hosts for a caller in `zone`. They may include this host.
     pub(crate) fn directory_addresses(
         &self,
--- a/gateway/src/edge/peer_messages.rs
+++ b/gateway/src/edge/peer_messages.rs
@@ -99,11 +99,13 @@
             if change != MemberChange::Stale {
                 state.tally.apply_heartbeat(&heartbeat, now);
                 let positions = &mut state.feed_positions;
-                offsets_advanced = positions.apply_peer_positions(
-                    heartbeat.sender.host,
-                    heartbeat.positions.clone(),
-                    now,
-                );
+                let is_newer = heartbeat.config_version > state.catalog.version();
+                offsets_advanced = is_newer
+                    | positions.apply_peer_positions(
+                        heartbeat.sender.host,
+                        heartbeat.positions.clone(),
+                        now,
+                    );
                 if !follows_hub {
                     let was_silent = change == MemberChange::Appeared;
                     let caps = &mut state.caps;
@@ -176,6 +178,7 @@
             state
                 .members
                 .record_configuration(hub, summary.config_version);
+            has_updates |= summary.config_version > state.catalog.version();
             has_updates |= state
                 .feed_positions
                 .apply_peer_positions(hub, summary.positions, now);
@@ -310,7 +313,8 @@
     }
 
     /// Returns whether hubs relay the messages between hosts.
-    pub(crate) fn is_relayed(&self) -> bool {
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
         self.state.borrow().relay_plan.is_relayed()
     }
 
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -76,8 +76,8 @@
     pub(super) unreadable_senders: FastSet<HostAddress>,
     /// Sequence number of the last summary that was sent.
     pub summary_number: u64,
-    /// Whether a feed position has changed since the last heartbeat.
-    pub feed_positions_changed: bool,
+    /// Whether a feed position or the configuration has changed since the last heartbeat.
+    pub heartbeat_due: bool,
     pub(super) removals: RemovalHold,
     /// Requests that wait for a decision of the scheduler.
     pending_placements: FastMap<TicketNumber, oneshot::Sender<Placement>>,
@@ -165,7 +165,7 @@
             config_lag: ConfigLag::default(),
             unreadable_senders: FastSet::default(),
             summary_number: 0,
-            feed_positions_changed: false,
+            heartbeat_due: false,
             removals: RemovalHold::default(),
             pending_placements: FastMap::default(),
             last_ticket: 0,
@@ -199,7 +199,8 @@
     }
 
     /// Returns a random number, uniformly distributed in 0..1.
-    pub(crate) fn random_fraction(&self) -> f64 {
+    #[must_use]
+    pub fn random_fraction(&self) -> f64 {
         self.random.borrow_mut().random()
     }
 
--- a/gateway/src/edge/store_updates.rs
+++ b/gateway/src/edge/store_updates.rs
@@ -1,7 +1,7 @@
 //! Tracks whether the store is reachable and how far this host has read it, and exchanges updates
 //! of the store with other hosts.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
 
@@ -48,7 +48,7 @@
         state
             .feed_positions
             .record_read(topic, next, Instant::now());
-        state.feed_positions_changed |= has_advanced;
+        state.heartbeat_due |= has_advanced;
     }
 
     /// Returns how this host obtains the updates of a topic from `next` on.
@@ -68,15 +68,26 @@
             .next_action(topic, next, is_reader, relayed, now)
     }
 
-    /// Returns whether this host or a peer has recently reported a position beyond `next`.
+    /// Returns the latest position that this host or a peer has recently reported, if it is beyond
+    /// `next`.
     #[must_use]
-    pub fn is_behind(&self, topic: FeedTopic, next: LogPosition) -> bool {
+    pub fn position_beyond(&self, topic: FeedTopic, next: LogPosition) -> Option<LogPosition> {
         let state = self.state.borrow();
         let relayed = state.relay_plan.is_relayed();
         let newest = state
             .feed_positions
             .latest_position(topic, relayed, Instant::now());
-        newest.is_some_and(|position| position > next)
+        newest.filter(|position| *position > next)
+    }
+
+    /// Returns for how long this host may still rely on what the hosts have read of a topic.
+    #[must_use]
+    pub fn feed_recent_for(&self, topic: FeedTopic) -> Duration {
+        let state = self.state.borrow();
+        let relayed = state.relay_plan.is_relayed();
+        state
+            .feed_positions
+            .recent_for(topic, relayed, Instant::now())
     }
 
     /// Queues an update read from the store for relaying if this host is a hub.
@@ -120,7 +131,7 @@
     }
 
     /// Wakes the tasks that wait for an update of the store.
-    pub(crate) fn wake_update_waiters(&self) {
+    pub fn wake_update_waiters(&self) {
         let waiters = std::mem::take(&mut self.state.borrow_mut().update_waiters);
         for waiter in waiters {
             // The receiver may have been dropped.
--- a/gateway/src/membership/feed_positions.rs
+++ b/gateway/src/membership/feed_positions.rs
@@ -356,6 +356,24 @@
         }
     }
 
+    /// Returns the last position that a peer has reported, which a hub may have from another host.
+    #[must_use]
+    pub fn position_of(&self, peer: HostAddress, topic: FeedTopic) -> Option<LogPosition> {
+        let positions = self.peers.get(&peer)?;
+        let position = positions
+            .iter()
+            .find(|(position, _)| position.topic == topic);
+        position.map(|(position, _)| position.next)
+    }
+
+    /// Returns for how long the latest position stays recent.
+    #[must_use]
+    pub fn recent_for(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Duration {
+        let ages = self.positions_with_age(topic, now).map(|(_, age)| age);
+        let age = ages.min().unwrap_or(Duration::MAX);
+        max_position_age(relayed).saturating_sub(age)
+    }
+
     /// Returns the latest position that this host or a peer has seen recently, or `None` if no host
     /// has read the topic recently.
     ///
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -372,6 +372,13 @@
             .max_by_key(|(_, version)| *version)
     }
 
+    /// Returns the version of the configuration that a host has in force.
+    #[must_use]
+    pub fn configuration_of(&self, host: HostAddress) -> Option<u64> {
+        let member = self.members.get(&host);
+        member.map(|member| member.config_version)
+    }
+
     /// Returns up to `max_hosts` reachable hosts, for a heartbeat.
     #[must_use]
     pub fn reachable(&self, max_hosts: usize, now: Instant) -> Vec<HostAddress> {
