Feeds: what a peer has counts however long ago it read the store

Traced on in partial_store's first test: the served host reads the store only while no position is recent (for 0.8 of every 1.9 s, as its own read counts too), and the others ask their peers only if a peer's position is recent at the moment at which their own call has failed. Three of five hosts never asked any peer for the operators' records in 8 s, though they had heard that the served host was ahead; the two that asked had the version after 656 and 732 ms.

Change: a lag is a position that a peer has reported within 2 s, however old the read behind it. A host's own read doesn't make it idle any more.

Evidence: two tests in membership.rs, which need the new functions; with the old rule a_host_that_alone_has_read_goes_on_reading has Idle in place of Watch. partial_store, older_store, relayed_updates, rejected_starts, large_fleet and membership hold.

--- a/gateway/src/edge/store_updates.rs
+++ b/gateway/src/edge/store_updates.rs
@@ -68,16 +68,12 @@
             .next_action(topic, next, is_reader, relayed, now)
     }
 
-    /// Returns the latest position that this host or a peer has recently reported, if it is beyond
-    /// `next`.
+    /// Returns the furthest position that a peer has in a topic, if it is beyond `next`.
     #[must_use]
     pub fn position_beyond(&self, topic: FeedTopic, next: LogPosition) -> Option<LogPosition> {
-        let state = self.state.borrow();
-        let relayed = state.relay_plan.is_relayed();
-        let newest = state
-            .feed_positions
-            .latest_position(topic, relayed, Instant::now());
-        newest.filter(|position| *position > next)
+        let positions = &self.state.borrow().feed_positions;
+        let furthest = positions.furthest_position(topic, Instant::now());
+        furthest.filter(|position| *position > next)
     }
 
     /// Returns for how long this host may still rely on what the hosts have read of a topic.
--- a/gateway/src/membership/feed_positions.rs
+++ b/gateway/src/membership/feed_positions.rs
@@ -58,6 +58,10 @@
 /// The same for a host that receives positions through hubs, two datagrams later.
 const MAX_RELAYED_POSITION_AGE: Duration = Duration::from_millis(1_500);
 
+/// Time for which the position that a peer reported shows what the peer has; it reports its position
+/// several times a second.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+
 /// Maximum time between two answers of an uninterrupted contact with the store. Readers send a
 /// read at least every 0.8 s.
 const MAX_ANSWER_GAP: Duration = Duration::from_millis(1_500);
@@ -336,7 +340,8 @@
     ///
     /// `is_reader`: the host is one of those that wait for updates at the store. Every host also
     /// does so while the store has not answered its last request: a host that only relied on its
-    /// peers would never notice that it can reach the store again.
+    /// peers would never notice that it can reach the store again. Its own read doesn't make a host
+    /// idle either, as it may be the only one that the store serves.
     #[must_use]
     pub fn next_action(
         &self,
@@ -349,7 +354,8 @@
         if is_reader || !self.answered.contains(&topic) {
             return FeedAction::Watch;
         }
-        match self.latest_position(topic, relayed, now) {
+        let peers = self.peer_positions(topic, now);
+        match latest_recent(peers, relayed) {
             None => FeedAction::Watch,
             Some(position) if position > next => FeedAction::Fetch,
             Some(_) => FeedAction::Idle,
@@ -366,10 +372,20 @@
         position.map(|(position, _)| position.next)
     }
 
-    /// Returns for how long the latest position stays recent.
+    /// Returns the furthest position that a peer has, however long ago it read the store.
+    #[must_use]
+    pub fn furthest_position(&self, topic: FeedTopic, now: Instant) -> Option<LogPosition> {
+        let reported = self.peers.values().flatten();
+        let reported = reported.filter(|(position, received_at)| {
+            position.topic == topic && now.duration_since(*received_at) <= MAX_REPORT_AGE
+        });
+        reported.map(|(position, _)| position.next).max()
+    }
+
+    /// Returns for how long a position of a peer stays recent.
     #[must_use]
     pub fn recent_for(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Duration {
-        let ages = self.positions_with_age(topic, now).map(|(_, age)| age);
+        let ages = self.peer_positions(topic, now).map(|(_, age)| age);
         let age = ages.min().unwrap_or(Duration::MAX);
         max_position_age(relayed).saturating_sub(age)
     }
@@ -385,14 +401,20 @@
         relayed: bool,
         now: Instant,
     ) -> Option<LogPosition> {
-        let max_age = max_position_age(relayed);
-        let recent = self
-            .positions_with_age(topic, now)
-            .filter(|(_, age)| *age <= max_age);
-        recent.map(|(position, _)| position.next).max()
+        latest_recent(self.positions_with_age(topic, now), relayed)
     }
 }
 
+/// Returns the latest of the positions that are recent.
+fn latest_recent(
+    positions: impl Iterator<Item = (FeedPosition, Duration)>,
+    relayed: bool,
+) -> Option<LogPosition> {
+    let max_age = max_position_age(relayed);
+    let recent = positions.filter(|(_, age)| *age <= max_age);
+    recent.map(|(position, _)| position.next).max()
+}
+
 /// Returns the age up to which a position counts.
 fn max_position_age(relayed: bool) -> Duration {
     if relayed {
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -191,6 +191,47 @@
     );
 }
 
+/// Guards against a host that doesn't take what a peer has because the peer read it a while ago.
+#[test]
+fn a_peer_that_is_ahead_counts_however_long_ago_it_read() {
+    let now = Instant::now();
+    let mut positions = FeedPositions::default();
+    let position = FeedPosition {
+        topic: FeedTopic::Operators,
+        next: log_position(9),
+        age_ms: 5_000,
+        contact_ms: 0,
+    };
+    positions.apply_peer_positions(host(2), vec![position], now);
+    let furthest =
+        |positions: &FeedPositions, now| positions.furthest_position(FeedTopic::Operators, now);
+    assert_eq!(furthest(&positions, now), Some(log_position(9)));
+    let later = now + Duration::from_millis(2_100);
+    assert_eq!(furthest(&positions, later), None, "the peer is silent");
+}
+
+/// Guards against the only host that the store serves, which waited for others to read.
+#[test]
+fn a_host_that_alone_has_read_goes_on_reading() {
+    let now = Instant::now();
+    let mut positions = FeedPositions::default();
+    positions.record_answer(FeedTopic::Operators);
+    positions.record_read(FeedTopic::Operators, log_position(4), now);
+    let next_action = |positions: &FeedPositions| {
+        let next = log_position(4);
+        positions.next_action(FeedTopic::Operators, next, false, false, now)
+    };
+    assert_eq!(next_action(&positions), FeedAction::Watch);
+    let position = FeedPosition {
+        topic: FeedTopic::Operators,
+        next: log_position(4),
+        age_ms: 0,
+        contact_ms: 0,
+    };
+    positions.apply_peer_positions(host(2), vec![position], now);
+    assert_eq!(next_action(&positions), FeedAction::Idle);
+}
+
 /// Guards against a host that loses the store, from then on receives all updates from its peers,
 /// and never notices that it can reach the store again. Such a host held removals back for more
 /// than four seconds.
