Feeds: the only host that the store serves goes on reading

Requests reached an endpoint that had left for as long as the store served a single host that is not one of the readers: the others held its removal back, "contact_ms=1100", and never confirmed it.

Cause: a host that is not a reader relies on any recent position, and took its own for one. The only host that was served therefore read once, waited 1.1 s without a call and read again for 0.8 s. Updates were read that much later, and answers 1.9 s apart count as an interrupted contact (1.5 s), so no contact was ever as long as the 2.3 s that confirm a removal.

Change: only what peers have read is a reason to wait.

Not covered: two hosts that are served and are not readers wait for each other in the same way.

--- a/gateway/src/membership/feed_positions.rs
+++ b/gateway/src/membership/feed_positions.rs
@@ -349,7 +349,8 @@
         if is_reader || !self.answered.contains(&topic) {
             return FeedAction::Watch;
         }
-        match self.latest_position(topic, relayed, now) {
+        // What this host has read itself is no reason to wait: it may be the only one that can.
+        match self.latest_peer_position(topic, relayed, now) {
             None => FeedAction::Watch,
             Some(position) if position > next => FeedAction::Fetch,
             Some(_) => FeedAction::Idle,
@@ -366,10 +367,10 @@
         position.map(|(position, _)| position.next)
     }
 
-    /// Returns for how long the latest position stays recent.
+    /// Returns for how long what peers have read stays recent.
     #[must_use]
     pub fn recent_for(&self, topic: FeedTopic, relayed: bool, now: Instant) -> Duration {
-        let ages = self.positions_with_age(topic, now).map(|(_, age)| age);
+        let ages = self.peer_positions(topic, now).map(|(_, age)| age);
         let age = ages.min().unwrap_or(Duration::MAX);
         max_position_age(relayed).saturating_sub(age)
     }
@@ -391,6 +392,20 @@
             .filter(|(_, age)| *age <= max_age);
         recent.map(|(position, _)| position.next).max()
     }
+
+    /// Returns the latest position that a peer has seen recently.
+    fn latest_peer_position(
+        &self,
+        topic: FeedTopic,
+        relayed: bool,
+        now: Instant,
+    ) -> Option<LogPosition> {
+        let max_age = max_position_age(relayed);
+        let recent = self
+            .peer_positions(topic, now)
+            .filter(|(_, age)| *age <= max_age);
+        recent.map(|(position, _)| position.next).max()
+    }
 }
 
 /// Returns the age up to which a position counts.
