A connection that ends after a failed write is no complete answer

Callers saw part of an answer as a complete one: an endpoint answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written.

Cause: a socket reports a reset once. While the part waits for its reader no read is outstanding, so the driver gives the error to the blocked write. Hyper polls reads before writes; if the reader takes the part in the same turn, the next read returns 0 bytes at once, which ends a response without a length. The failed write is polled only after that, and its error has no receiver left. The same holds for a timeout of unacknowledged data.

Change: the stream below the HTTP/1 clients of http-util (endpoints, store, peers, duties, the daemon's endpoint clients, the tools) records the first error of a write. At the end of the stream it also polls the write in progress, and returns the error instead of the end. A write that is only blocked leaves the end clean: an endpoint may answer early and end its half of the connection.

The tests of the stream itself use types that the change introduces, so they weren't run without it.

--- a/http-util/src/keep_alive.rs
+++ b/http-util/src/keep_alive.rs
@@ -49,33 +49,61 @@
 /// Stream that limits the number of bytes that may be read, and yields to other tasks regularly.
 /// Otherwise an endless series of interim responses or an endless chunk size line would block the
 /// thread that serves all connections.
-pub(crate) struct BoundedStream {
-    stream: HyperStream<TcpStream>,
+///
+/// Its end is an error if a write has failed: a response without a length would otherwise seem
+/// complete after a reset.
+pub(crate) struct BoundedStream<S = HyperStream<TcpStream>> {
+    stream: S,
     remaining_bytes: Rc<Cell<usize>>,
     buffer: Vec<u8>,
     /// Bytes read since the connection last yielded.
     turn_bytes: usize,
     limiter: WriteLimiter,
+    /// Error of the first write that failed.
+    write_failure: Option<std::io::ErrorKind>,
 }
 
 impl BoundedStream {
-    fn new(stream: TcpStream, remaining_bytes: Rc<Cell<usize>>) -> Self {
+    /// Returns a stream from which any number of bytes may be read.
+    pub fn without_limit(stream: TcpStream) -> Self {
+        let remaining_bytes = Rc::new(Cell::new(usize::MAX));
+        Self::new(HyperStream::new_plain(stream), remaining_bytes)
+    }
+}
+
+impl<S> BoundedStream<S> {
+    pub fn new(stream: S, remaining_bytes: Rc<Cell<usize>>) -> Self {
         Self {
-            stream: HyperStream::new_plain(stream),
+            stream,
             remaining_bytes,
             buffer: Vec::new(),
             turn_bytes: 0,
             limiter: WriteLimiter::default(),
+            write_failure: None,
         }
     }
 
-    /// Returns a stream from which any number of bytes may be read.
-    pub fn without_limit(stream: TcpStream) -> Self {
-        Self::new(stream, Rc::new(Cell::new(usize::MAX)))
+    fn record_write<T>(&mut self, written: &Poll<std::io::Result<T>>) {
+        if let Poll::Ready(Err(error)) = written {
+            self.write_failure.get_or_insert(error.kind());
+        }
+    }
+}
+
+impl<S: Write + Unpin> BoundedStream<S> {
+    /// Returns the error of a failed write at the end of the stream.
+    fn check_end(&mut self, context: &mut Context<'_>) -> std::io::Result<()> {
+        // A socket reports a reset only once, and the write in progress may have received it.
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.record_write(&flushed);
+        match self.write_failure {
+            Some(failure) => Err(failure.into()),
+            None => Ok(()),
+        }
     }
 }
 
-impl Read for BoundedStream {
+impl<S: Read + Write + Unpin> Read for BoundedStream<S> {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -91,27 +119,32 @@
         this.buffer.resize(max_bytes, 0);
         let mut read_buffer = ReadBuf::new(&mut this.buffer);
         ready!(Pin::new(&mut this.stream).poll_read(context, read_buffer.unfilled()))?;
-        let read_bytes = read_buffer.filled();
-        if read_bytes.len() > this.remaining_bytes.get() {
+        let length = read_buffer.filled().len();
+        if length == 0 && max_bytes > 0 {
+            return Poll::Ready(this.check_end(context));
+        }
+        if length > this.remaining_bytes.get() {
             let error = "the response exceeds its byte limit";
             return Poll::Ready(Err(std::io::Error::other(error)));
         }
-        this.turn_bytes += read_bytes.len();
+        this.turn_bytes += length;
         this.remaining_bytes
-            .set(this.remaining_bytes.get() - read_bytes.len());
-        target.put_slice(read_bytes);
+            .set(this.remaining_bytes.get() - length);
+        target.put_slice(&this.buffer[..length]);
         Poll::Ready(Ok(()))
     }
 }
 
-impl Write for BoundedStream {
+impl<S: Write + Unpin> Write for BoundedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let this = &mut *self;
-        this.limiter.poll_write(&mut this.stream, context, bytes)
+        let written = this.limiter.poll_write(&mut this.stream, context, bytes);
+        this.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -120,8 +153,11 @@
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let this = &mut *self;
-        this.limiter
-            .poll_write_vectored(&mut this.stream, context, parts)
+        let written = this
+            .limiter
+            .poll_write_vectored(&mut this.stream, context, parts);
+        this.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -133,7 +169,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.record_write(&flushed);
+        flushed
     }
 
     fn poll_shutdown(
@@ -193,9 +231,11 @@
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         set_liveness_options(&stream)?;
         let remaining_bytes = Rc::new(Cell::new(0));
+        let stream =
+            BoundedStream::new(HyperStream::new_plain(stream), Rc::clone(&remaining_bytes));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(BoundedStream::new(stream, Rc::clone(&remaining_bytes)))
+            .handshake(stream)
             .await
             .map_err(std::io::Error::other)?;
         let driver = compio::runtime::spawn(async move {
--- a/http-util/src/lib.rs
+++ b/http-util/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod client;
 mod keep_alive;
+#[cfg(test)]
+mod keep_alive_tests;
 mod server;
 
 pub use client::{ByteStream, ClientError, DialedConnection, LineReader, request_json};
