--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -3,6 +3,7 @@
 
 mod feed_positions;
 mod feed_updates;
+mod format_trailer;
 mod host_selection;
 mod hub_choice;
 mod hubs;
@@ -14,6 +15,7 @@
 pub(crate) use feed_positions::ContactSpan;
 pub use feed_positions::{FeedAction, FeedPosition, FeedPositions, FeedTopic};
 pub use feed_updates::{FeedUpdate, UpdateQueue};
+pub use format_trailer::{CURRENT_FORMAT, FormatNumber, stated_format};
 pub use host_selection::select_hosts;
 pub use hub_choice::{HubChoice, SummaryOutcome};
 pub use hubs::{
--- a/gateway/src/membership/peer_message.rs
+++ b/gateway/src/membership/peer_message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed_positions::FeedPosition;
+use super::format_trailer;
 use super::hubs::{CellSummary, HubSummary, MemberReport};
 use crate::backpressure::SignalReport;
 use crate::duties::{DutyPoll, DutyReply};
@@ -69,17 +70,20 @@
 }
 
 impl PeerMessage {
-    /// Encodes the message.
+    /// Encodes the message in the current format, which the end of the datagram states.
     ///
     /// # Panics
     ///
     /// Never panics, since every field can be encoded.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("every message can be encoded")
+        let mut bytes = postcard::to_stdvec(self).expect("every message can be encoded");
+        format_trailer::append(&mut bytes);
+        bytes
     }
 
-    /// Decodes a message, or returns `None` if the bytes are not one.
+    /// Decodes a message of the current format or of a later one, or returns `None` if the bytes are
+    /// not one. Fields that a later format adds behind the message are ignored.
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         postcard::from_bytes(bytes).ok()
