A host that starts takes no requests behind its peers' configuration

Callers of a host that started while the store held an older copy got 404 on routes that its peers served: on 70 requests in its first 3 s.

Cause: the host counted as ready, and served, once it had any configuration and a peer had told it what is blocked. That its peers had a newer one, it knew from the same datagrams.

Change: a host that starts is introduced once it also has the newest configuration that reachable peers have, or 2 s after its start. This is decided once, so that a host in service never stops to serve for a newer version. A peer's answer to a new host sends its version before the list of what is blocked.

--- a/gateway/src/edge/datagrams.rs
+++ b/gateway/src/edge/datagrams.rs
@@ -164,10 +164,10 @@
         match PeerMessage::decode(&buffer[..length]) {
             Some(PeerMessage::Heartbeat(heartbeat)) => {
                 if edge.apply_heartbeat(heartbeat) {
-                    let digest = PeerMessage::QuarantineDigest(edge.complete_quarantine_digest());
-                    send_datagram(&edge, &socket, sender.ip(), digest.encode()).await;
                     let bytes = PeerMessage::Heartbeat(edge.build_introduction()).encode();
                     send_datagram(&edge, &socket, sender.ip(), bytes).await;
+                    let digest = PeerMessage::QuarantineDigest(edge.complete_quarantine_digest());
+                    send_datagram(&edge, &socket, sender.ip(), digest.encode()).await;
                 }
             }
             Some(PeerMessage::HubSummary(summary)) => edge.apply_summary(summary),
--- a/gateway/src/edge/mod.rs
+++ b/gateway/src/edge/mod.rs
@@ -23,6 +23,7 @@
 mod hedge_sends;
 mod hosts;
 mod in_flight;
+mod introduction;
 mod isolation_control;
 mod lingering_stream;
 mod metrics;
--- a/gateway/src/edge/quarantine_control.rs
+++ b/gateway/src/edge/quarantine_control.rs
@@ -8,9 +8,6 @@
 use crate::membership::QuarantineDigest;
 use crate::quarantine::{QuarantineChange, QuarantineTable, QuarantineVerdict};
 
-/// Time after its start for which a host waits to hear what its peers have blocked.
-const INTRODUCTION_TIME: Duration = Duration::from_millis(500);
-
 impl Edge {
     /// Returns whether a request with these contents may be sent; otherwise the time until its
     /// blocked content is permitted again.
@@ -103,7 +100,7 @@
         let now = Instant::now();
         let changes: Vec<_> = {
             let state = &mut *self.state.borrow_mut();
-            state.is_introduced |= digest.is_complete;
+            state.introduction.has_block_list |= digest.is_complete;
             let table = &mut state.quarantine;
             let reports = digest.reports.iter();
             reports
@@ -134,12 +131,6 @@
         }
     }
 
-    /// Returns whether this host has heard from a peer which contents are blocked, or has waited
-    /// long enough for one to answer.
-    pub(crate) fn is_introduced(&self) -> bool {
-        self.state.borrow().is_introduced || self.started.elapsed() >= INTRODUCTION_TIME
-    }
-
     fn log_quarantine_changes(&self, changes: &[QuarantineChange]) {
         for change in changes {
             match change {
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -14,6 +14,7 @@
 use super::dialect::{CatalogArchive, WireDialect};
 use super::duty_control::read_clocks;
 use super::in_flight::InFlightTable;
+use super::introduction::IntroductionState;
 use super::metrics::{EdgeMetrics, HostGauges};
 use super::peer_messages::SentMembers;
 use super::placement::Placement;
@@ -92,8 +93,7 @@
     pub(super) endpoints_listed: bool,
     /// When the shares of workspaces were computed last, and how many were limited.
     pub(super) kept_shares_updated: Option<(Instant, usize)>,
-    /// Whether a peer has reported all that it knows of blocked contents.
-    pub(super) is_introduced: bool,
+    pub(super) introduction: IntroductionState,
     /// Time at which the shutdown of this host started.
     pub leaving_since: Option<Instant>,
 }
@@ -174,7 +174,7 @@
             live_hosts: Vec::new(),
             endpoints_listed: false,
             kept_shares_updated: None,
-            is_introduced: false,
+            introduction: IntroductionState::default(),
             leaving_since: None,
         };
         let cold_sends_from = SchedulerEvent::ColdSendsFrom(now + DISCOVERY_TIME);
@@ -339,6 +339,7 @@
     /// that are due, advances rollouts and expires waiting requests.
     pub(crate) fn tick(&self) {
         let now = Instant::now();
+        self.update_introduction(now);
         self.update_relay_plan(now);
         let (due, view_changed, has_waiting) = {
             let state = &mut *self.state.borrow_mut();
