Hosts of builds without eras are heard, and answered in their layout

Cause: changed MemberReport, FeedPosition, FeedUpdate, PeerHeartbeat and HubSummary.

Change: a datagram without a number is decoded in both layouts. It must take up all bytes and name its source as the sender; where both readings hold, earlier datagrams of the source decide, or else the size of the host. The format of each host is remembered from what it sends, and it gets its own; a host that was never heard gets the current one, since it is heard within a heartbeat. A message is encoded once for each format. Offsets count in the era that this host knows. Hosts without eras are no readers for those that know them, and updates of their hubs are not taken over. 'peer: format of messages' logs each host's format once.

--- a/gateway/src/edge/datagrams.rs
+++ b/gateway/src/edge/datagrams.rs
@@ -1,6 +1,6 @@
 //! Sends heartbeats and summaries to other hosts and receives theirs, as datagrams.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +8,7 @@
 
 use super::peer_messages::RoundParts;
 use super::state::Edge;
+use crate::ids::HostAddress;
 use crate::membership::{MAX_DATAGRAM_BYTES, PeerMessage};
 
 /// Maximum time between two heartbeats.
@@ -66,10 +67,8 @@
     if targets.is_empty() {
         return;
     }
-    let mut bytes = PeerMessage::Heartbeat(edge.build_heartbeat()).encode();
-    for host in targets {
-        bytes = send_datagram(edge, socket, host, bytes).await;
-    }
+    let message = PeerMessage::Heartbeat(edge.build_heartbeat());
+    send_to_all(edge, socket, &message, targets).await;
 }
 
 /// Sends what this host has heard of endpoints, if anything is due.
@@ -77,10 +76,8 @@
     let Some(digest) = edge.next_signal_digest() else {
         return;
     };
-    let mut bytes = PeerMessage::SignalDigest(digest).encode();
-    for host in edge.signal_targets() {
-        bytes = send_datagram(edge, socket, host, bytes).await;
-    }
+    let message = PeerMessage::SignalDigest(digest);
+    send_to_all(edge, socket, &message, edge.signal_targets()).await;
 }
 
 /// Sends what this host knows of crashes, if anything is due.
@@ -88,10 +85,8 @@
     let Some(digest) = edge.next_quarantine_digest() else {
         return;
     };
-    let mut bytes = PeerMessage::QuarantineDigest(digest).encode();
-    for host in edge.signal_targets() {
-        bytes = send_datagram(edge, socket, host, bytes).await;
-    }
+    let message = PeerMessage::QuarantineDigest(digest);
+    send_to_all(edge, socket, &message, edge.signal_targets()).await;
 }
 
 /// Asks all hosts for their counts if this host holds the duties and a poll is due.
@@ -99,10 +94,7 @@
     let Some((poll, targets)) = edge.next_duty_poll() else {
         return;
     };
-    let mut bytes = PeerMessage::DutyPoll(poll).encode();
-    for host in targets {
-        bytes = send_datagram(edge, socket, host, bytes).await;
-    }
+    send_to_all(edge, socket, &PeerMessage::DutyPoll(poll), targets).await;
 }
 
 /// Sends summary rounds while this host is a hub.
@@ -120,24 +112,51 @@
         round_number = round_number.wrapping_add(1);
         let mut round = edge.begin_summary_round(parts);
         if let Some(summary) = edge.build_cell_summary(&mut round) {
-            let mut bytes = PeerMessage::CellSummary(summary).encode();
-            for host in edge.cell_summary_targets() {
-                bytes = send_datagram(&edge, &socket, host, bytes).await;
-            }
+            let message = PeerMessage::CellSummary(summary);
+            send_to_all(&edge, &socket, &message, edge.cell_summary_targets()).await;
         }
         for host in edge.summary_targets(parts) {
             let summary = edge.build_summary(host, &round);
-            let bytes = PeerMessage::HubSummary(summary).encode();
-            send_datagram(&edge, &socket, host, bytes).await;
+            send_message(&edge, &socket, host, &PeerMessage::HubSummary(summary)).await;
         }
     }
 }
 
+/// Sends a message to several hosts, encoded once for each format.
+async fn send_to_all(
+    edge: &Rc<Edge>,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    hosts: Vec<HostAddress>,
+) {
+    let (legacy, current): (Vec<_>, Vec<_>) = hosts
+        .into_iter()
+        .partition(|host| edge.is_legacy_host(*host));
+    for hosts in [current, legacy] {
+        let Some(first) = hosts.first() else { continue };
+        let mut bytes = edge.encode_for(message, *first);
+        for host in hosts {
+            bytes = send_datagram(edge, socket, host, bytes).await;
+        }
+    }
+}
+
+/// Sends a message to one host.
+async fn send_message(
+    edge: &Rc<Edge>,
+    socket: &UdpSocket,
+    host: HostAddress,
+    message: &PeerMessage,
+) {
+    let bytes = edge.encode_for(message, host);
+    send_datagram(edge, socket, host, bytes).await;
+}
+
 /// Sends one datagram and returns its buffer for reuse.
 async fn send_datagram(
     edge: &Rc<Edge>,
     socket: &UdpSocket,
-    host: IpAddr,
+    host: HostAddress,
     bytes: Vec<u8>,
 ) -> Vec<u8> {
     let target = SocketAddr::new(host, edge.settings.peer_port);
@@ -161,13 +180,13 @@
             compio::time::sleep(SOCKET_ERROR_BACKOFF).await;
             continue;
         };
-        match PeerMessage::decode(&buffer[..length]) {
+        match edge.decode_datagram(&buffer[..length], sender.ip()) {
             Some(PeerMessage::Heartbeat(heartbeat)) => {
                 if edge.apply_heartbeat(heartbeat) {
                     let digest = PeerMessage::QuarantineDigest(edge.complete_quarantine_digest());
-                    send_datagram(&edge, &socket, sender.ip(), digest.encode()).await;
-                    let bytes = PeerMessage::Heartbeat(edge.build_introduction()).encode();
-                    send_datagram(&edge, &socket, sender.ip(), bytes).await;
+                    send_message(&edge, &socket, sender.ip(), &digest).await;
+                    let introduction = PeerMessage::Heartbeat(edge.build_introduction());
+                    send_message(&edge, &socket, sender.ip(), &introduction).await;
                 }
             }
             Some(PeerMessage::HubSummary(summary)) => edge.apply_summary(summary),
@@ -176,8 +195,8 @@
             Some(PeerMessage::QuarantineDigest(digest)) => edge.apply_quarantine_digest(&digest),
             Some(PeerMessage::DutyPoll(poll)) => {
                 if let Some(reply) = edge.apply_duty_poll(&poll) {
-                    let bytes = PeerMessage::DutyReply(reply).encode();
-                    send_datagram(&edge, &socket, sender.ip(), bytes).await;
+                    let message = PeerMessage::DutyReply(reply);
+                    send_message(&edge, &socket, sender.ip(), &message).await;
                 }
             }
             Some(PeerMessage::DutyReply(reply)) => edge.apply_duty_reply(reply),
--- a/gateway/src/edge/peer_messages.rs
+++ b/gateway/src/edge/peer_messages.rs
@@ -5,8 +5,9 @@
 use super::state::Edge;
 use crate::ids::{FastMap, FastSet, HostAddress, Incarnation, NameHash, ZoneName};
 use crate::membership::{
-    CellSummary, FeedPosition, FeedUpdate, HubSummary, HubSums, HubTotals, MemberChange,
-    MemberReport, MemberStage, PeerHeartbeat, SignalDigest, SummaryOutcome,
+    CellSummary, DatagramContext, FeedPosition, FeedUpdate, HubSummary, HubSums, HubTotals,
+    MemberChange, MemberReport, MemberStage, PeerDatagram, PeerFormat, PeerHeartbeat, PeerMessage,
+    SignalDigest, SummaryOutcome,
 };
 use crate::scheduler::{EndpointReport, PaceReport, SchedulerEvent};
 
@@ -245,6 +246,33 @@
         }
     }
 
+    /// Decodes a datagram, whose format is remembered for the answers to its source.
+    pub(crate) fn decode_datagram(&self, bytes: &[u8], source: HostAddress) -> Option<PeerMessage> {
+        let state = &mut *self.state.borrow_mut();
+        let context = DatagramContext {
+            source,
+            known_format: state.members.format_of(source),
+            era: state.feed_positions.era(),
+        };
+        let PeerDatagram { message, format } = PeerDatagram::decode(bytes, &context)?;
+        if let Some(format) = format
+            && state.members.record_format(source, format)
+        {
+            log::info!(peer = source.to_string().as_str(), format:? = format; "peer: format of messages");
+        }
+        Some(message)
+    }
+
+    /// Returns whether a host sends in the format without eras.
+    pub(crate) fn is_legacy_host(&self, host: HostAddress) -> bool {
+        self.state.borrow().members.format_of(host) == Some(PeerFormat::Offsets)
+    }
+
+    /// Encodes a message in the format that a host sends itself.
+    pub(crate) fn encode_for(&self, message: &PeerMessage, host: HostAddress) -> Vec<u8> {
+        message.encode_for(self.state.borrow().members.format_of(host))
+    }
+
     /// Records that a datagram of another host cannot be read.
     pub(crate) fn record_unreadable(&self, sender: HostAddress, length: usize) {
         self.count("beat_unreadable");
--- a/gateway/src/edge/store_updates.rs
+++ b/gateway/src/edge/store_updates.rs
@@ -61,7 +61,7 @@
             // Hubs relay the updates that they read to all other hosts.
             self.settings.is_among(&state.relay_plan.readers)
         } else {
-            state.members.is_elected(STORE_READERS, now)
+            state.members.is_elected_reader(STORE_READERS, now)
         };
         state
             .feed_positions
--- a/gateway/src/membership/feed_positions.rs
+++ b/gateway/src/membership/feed_positions.rs
@@ -223,6 +223,13 @@
         has_advanced
     }
 
+    /// Returns the era of the store that this host has read.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        let eras = self.own.values().map(|position| position.next.era);
+        eras.max().unwrap_or_default()
+    }
+
     /// Returns this host's own positions for a heartbeat. Positions of peers are not passed on in
     /// heartbeats.
     #[must_use]
--- a/gateway/src/membership/members.rs
+++ b/gateway/src/membership/members.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::hubs::{MemberReport, MemberStage};
+use super::peer_datagram::PeerFormat;
 use super::peer_message::PeerHeartbeat;
 use super::relay_plan::{MAX_CELL_HOSTS, RelayCandidate, RelayPlan};
 use crate::ids::{FastMap, HostAddress, Incarnation, ZoneName};
@@ -73,6 +74,8 @@
 pub struct MemberTable {
     own: HostAddress,
     members: FastMap<HostAddress, MemberEntry>,
+    /// The format in which each host last sent.
+    formats: FastMap<HostAddress, PeerFormat>,
     /// Position in the sorted list of hosts at which the next probes for a hub begin.
     next_probed: usize,
 }
@@ -83,6 +86,7 @@
         Self {
             own,
             members: FastMap::default(),
+            formats: FastMap::default(),
             next_probed: 0,
         }
     }
@@ -149,6 +153,17 @@
         }
     }
 
+    /// Records the format in which a host sends. Returns whether it is another one than before.
+    pub fn record_format(&mut self, host: HostAddress, format: PeerFormat) -> bool {
+        self.formats.insert(host, format) != Some(format)
+    }
+
+    /// Returns the format in which a host sends, if that is known.
+    #[must_use]
+    pub fn format_of(&self, host: HostAddress) -> Option<PeerFormat> {
+        self.formats.get(&host).copied()
+    }
+
     /// Records the version of the configuration that a host has in force.
     pub fn record_configuration(&mut self, host: HostAddress, version: u64) {
         if let Some(member) = self.members.get_mut(&host) {
@@ -393,12 +408,25 @@
     /// with the lowest addresses do; silent hosts don't count, so one that fails is soon replaced.
     #[must_use]
     pub fn is_elected(&self, count: usize, now: Instant) -> bool {
-        let lower = self.members.iter().filter(|(host, member)| {
+        self.lower_hosts(now).count() < count
+    }
+
+    /// Returns the same for tasks whose results only hosts that know eras can rely on.
+    #[must_use]
+    pub fn is_elected_reader(&self, count: usize, now: Instant) -> bool {
+        let lower = self.lower_hosts(now);
+        let lower = lower.filter(|host| self.format_of(*host) != Some(PeerFormat::Offsets));
+        lower.count() < count
+    }
+
+    /// Returns the hosts with lower addresses that were heard recently and are not about to stop.
+    fn lower_hosts(&self, now: Instant) -> impl Iterator<Item = HostAddress> {
+        let lower = self.members.iter().filter(move |(host, member)| {
             **host < self.own
                 && member.report.stage != MemberStage::Leaving
                 && is_heard_within(member, SUSPICION_TIMEOUT, now)
         });
-        lower.count() < count
+        lower.map(|(host, _)| *host)
     }
 
     /// Returns the hosts that were heard recently, reach endpoints and are not about to stop, and
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -7,8 +7,10 @@
 mod host_selection;
 mod hub_choice;
 mod hubs;
+mod legacy_message;
 mod log_position;
 mod members;
+mod peer_datagram;
 mod peer_message;
 mod relay_plan;
 
@@ -24,6 +26,7 @@
 };
 pub use log_position::LogPosition;
 pub use members::{MemberChange, MemberTable, MemberView};
+pub use peer_datagram::{DatagramContext, PeerDatagram, PeerFormat};
 pub use peer_message::{
     MAX_DATAGRAM_BYTES, PeerHeartbeat, PeerMessage, QuarantineDigest, SignalDigest,
 };
--- a/gateway/tests/peer_formats.rs
+++ b/gateway/tests/peer_formats.rs
@@ -7,9 +7,9 @@
 use gateway::duties::{DemandReport, DutyPoll, DutyReply, WindowCounts};
 use gateway::limits::{UsageCount, UsageReport};
 use gateway::membership::{
-    CURRENT_FORMAT, CellSummary, FeedPosition, FeedTopic, FeedUpdate, HubSummary, LogPosition,
-    MemberReport, MemberStage, PeerHeartbeat, PeerMessage, QuarantineDigest, SignalDigest,
-    stated_format,
+    CURRENT_FORMAT, CellSummary, DatagramContext, FeedPosition, FeedTopic, FeedUpdate, HubSummary,
+    LogPosition, MemberReport, MemberStage, PeerDatagram, PeerFormat, PeerHeartbeat, PeerMessage,
+    QuarantineDigest, SignalDigest, stated_format,
 };
 use gateway::quarantine::{BlockReport, ClearReport, CrashReport, QuarantineReport};
 use gateway::rollouts::{RolloutPhase, RolloutReport, RunCounts, SideCounts};
@@ -285,3 +285,119 @@
         assert_eq!(PeerMessage::decode(&later), Some(message));
     }
 }
+
+/// Returns what is known of a host that has sent in this format, in era 2 of the store.
+fn context(known_format: Option<PeerFormat>) -> DatagramContext {
+    DatagramContext {
+        source: host(2),
+        known_format,
+        era: 2,
+    }
+}
+
+/// Returns the messages that builds without eras can say, and their datagrams.
+fn legacy_datagrams() -> Vec<(PeerMessage, Vec<u8>)> {
+    let messages = messages().into_iter().filter(|message| {
+        !matches!(message, PeerMessage::Heartbeat(heartbeat) if heartbeat.sender.stage == MemberStage::Isolated)
+    });
+    let encoded = messages.map(|message| {
+        let bytes = message.encode_for(Some(PeerFormat::Offsets));
+        (message, bytes)
+    });
+    encoded.collect()
+}
+
+/// Guards against datagrams that hosts without eras cannot read.
+#[test]
+fn the_layout_without_eras_stays() {
+    let lines: Vec<_> = legacy_datagrams()
+        .iter()
+        .map(|(_, bytes)| hex(bytes))
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against hosts without eras that are not heard, or whose records are taken for this era's.
+#[test]
+fn datagrams_without_eras_are_read() {
+    for (mut message, bytes) in legacy_datagrams() {
+        let has_own_layout = match &mut message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                heartbeat.config_version = 0;
+                true
+            }
+            PeerMessage::HubSummary(summary) => {
+                summary.config_version = 0;
+                summary.updates.clear();
+                true
+            }
+            PeerMessage::CellSummary(summary) => {
+                summary.updates.clear();
+                true
+            }
+            PeerMessage::SignalDigest(_)
+            | PeerMessage::QuarantineDigest(_)
+            | PeerMessage::DutyPoll(_)
+            | PeerMessage::DutyReply(_) => false,
+        };
+        let format = has_own_layout.then_some(PeerFormat::Offsets);
+        let expected = PeerDatagram { message, format };
+        assert_eq!(PeerDatagram::decode(&bytes, &context(None)), Some(expected));
+    }
+}
+
+/// Guards against datagrams without a number that are read in another layout than their own.
+#[test]
+fn the_current_layout_is_told_from_the_one_without_eras() {
+    for message in messages() {
+        let known_formats = [
+            None,
+            Some(PeerFormat::Offsets),
+            Some(PeerFormat::Eras),
+            Some(PeerFormat::Numbered(CURRENT_FORMAT)),
+        ];
+        for known_format in known_formats {
+            let datagram = PeerDatagram::decode(&message_bytes(&message), &context(known_format));
+            let datagram = datagram.expect("the datagram is readable");
+            assert_eq!(datagram.message, message);
+            assert_ne!(datagram.format, Some(PeerFormat::Offsets));
+        }
+    }
+}
+
+/// Guards against the size of a host that is taken for a version of the configuration.
+#[test]
+fn heartbeats_before_the_first_read_are_told_apart_by_the_size() {
+    let mut first = heartbeat(2, 7, 1);
+    first.sender.stage = MemberStage::Starting;
+    let message = PeerMessage::Heartbeat(first);
+    let legacy_bytes = message.encode_for(Some(PeerFormat::Offsets));
+    for bytes in [legacy_bytes.clone(), message_bytes(&message)] {
+        let datagram = PeerDatagram::decode(&bytes, &context(None));
+        assert_eq!(
+            datagram.map(|datagram| datagram.message),
+            Some(message.clone())
+        );
+    }
+    let known = PeerDatagram::decode(&legacy_bytes, &context(Some(PeerFormat::Offsets)));
+    assert_eq!(known.map(|datagram| datagram.message), Some(message));
+}
+
+/// Guards against foreign bytes that are taken for the message of an earlier build.
+#[test]
+fn datagrams_without_a_number_must_fit_exactly_and_name_their_source() {
+    let mut datagrams: Vec<_> = legacy_datagrams()
+        .into_iter()
+        .map(|(_, bytes)| bytes)
+        .collect();
+    datagrams.extend(messages().iter().map(message_bytes));
+    for mut bytes in datagrams {
+        let elsewhere = DatagramContext {
+            source: host(3),
+            ..context(None)
+        };
+        assert_eq!(PeerDatagram::decode(&bytes, &elsewhere), None);
+        bytes.push(0);
+        assert_eq!(PeerDatagram::decode(&bytes, &context(None)), None);
+    }
+}
