--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -9,7 +9,7 @@
 use common::{heartbeat, host};
 use gateway::membership::{
     FeedAction, FeedPosition, FeedPositions, FeedTopic, FeedUpdate, HubChoice, HubSummary, HubSums,
-    HubTally, LogPosition, MAX_DATAGRAM_BYTES, MemberChange, MemberStage, MemberTable,
+    HubTally, LogPosition, MAX_DATAGRAM_BYTES, MemberChange, MemberStage, MemberTable, PeerFormat,
     PeerHeartbeat, PeerMessage, SummaryOutcome, UpdateQueue,
 };
 use seeds::check_seeds;
@@ -252,6 +252,22 @@
     assert!(table.is_elected(2, later), "the first host is silent");
 }
 
+/// Guards against hosts that rely on readers which don't notice that the store came back older.
+#[test]
+fn hosts_without_eras_are_no_readers_for_others() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(host(3));
+    for number in 1..=2 {
+        table.apply_heartbeat(&heartbeat(number, 1, 1), now);
+    }
+    assert!(!table.is_elected_reader(2, now));
+    assert!(table.record_format(host(1), PeerFormat::Offsets));
+    assert!(table.is_elected_reader(2, now));
+    assert!(!table.is_elected(2, now), "tasks that need no positions");
+    assert!(table.record_format(host(1), PeerFormat::Eras), "replaced");
+    assert!(!table.is_elected_reader(2, now));
+}
+
 /// Hosts 12, 13 and 14 are larger than the others.
 fn cpu_permille(number: u8) -> u32 {
     if number >= 12 { 500 } else { 120 }
