--- a/gateway/src/edge/hosts.rs
+++ b/gateway/src/edge/hosts.rs
@@ -74,6 +74,12 @@
         self.schedule(SchedulerEvent::LiveHostsChanged(hosts));
     }
 
+    /// Returns how many hosts may be serving callers, including this one.
+    #[must_use]
+    pub fn counted_hosts(&self) -> usize {
+        self.state.borrow().member_view.counted.len()
+    }
+
     /// Returns the newest version of the configuration that a reachable host has, if this host has an
     /// older one.
     #[must_use]
--- a/gateway/src/edge/state.rs
+++ b/gateway/src/edge/state.rs
@@ -86,7 +86,7 @@
     /// Sequence number of the last heartbeat that was sent.
     pub heartbeat_number: u64,
     /// Hosts that count in limits, as of the last tick.
-    member_view: MemberView,
+    pub(super) member_view: MemberView,
     /// Hosts that were heard recently, as of the last tick.
     pub(super) live_hosts: Vec<HostAddress>,
     /// Whether a complete list of endpoints has been received. Endpoints that appear later are new.
--- a/gateway/src/edge/store_updates.rs
+++ b/gateway/src/edge/store_updates.rs
@@ -101,6 +101,13 @@
         self.is_relayed().then_some(updates)
     }
 
+    /// Returns whether hubs relay no more updates of what this host lacks: the summary that states
+    /// the version of a hub also has its last updates, unless they are too large for it.
+    #[must_use]
+    pub fn is_relay_over(&self, topic: FeedTopic) -> bool {
+        topic == FeedTopic::Operators && self.newer_configuration().is_some()
+    }
+
     /// Waits until a datagram announces an update of the store.
     pub async fn wait_for_update(&self) {
         let (sender, receiver) = oneshot::channel();
